Set up workspaces, core types, result codes, settings, logs and metrics

Cause: empty repository. Change: npm workspaces, strict TypeScript, deno formatter and linter, the core package. Measured: compiles; nothing runs yet.

--- /dev/null
+++ b/packages/core/src/metrics/metrics.ts
@@ -0,0 +1,140 @@
+/** Metrics of one daemon. */
+
+import {
+  collectDefaultMetrics,
+  Counter,
+  Gauge,
+  Histogram,
+  Registry,
+} from "prom-client";
+import type { ResultCode } from "../result/result_codes.ts";
+
+const LATENCY_BUCKETS = [
+  0.001,
+  0.0025,
+  0.005,
+  0.01,
+  0.025,
+  0.05,
+  0.1,
+  0.25,
+  0.5,
+  1,
+  2.5,
+  10,
+  60,
+];
+
+/** All counters, gauges and histograms that a daemon keeps. */
+export interface Metrics {
+  readonly registry: Registry;
+  readonly refusals: Counter<"part" | "reason">;
+  readonly retries: Counter<"part" | "reason">;
+  readonly calls: Counter<"kind" | "code">;
+  readonly commitSeconds: Histogram<"group">;
+  readonly callSeconds: Histogram<"kind">;
+  readonly leading: Gauge<"group">;
+  readonly revision: Gauge;
+  readonly running: Gauge;
+  readonly queued: Gauge;
+  readonly cachedTokens: Counter;
+  readonly promptTokens: Counter;
+  readonly malformedFrames: Counter<"reason">;
+}
+
+/** Makes an empty set of metrics. */
+export function createMetrics(): Metrics {
+  const registry = new Registry();
+  collectDefaultMetrics({ register: registry });
+  const registers = [registry];
+  return {
+    registry,
+    refusals: new Counter({
+      name: "mallowlift_refusals_total",
+      help: "Requests refused, by part and result code",
+      labelNames: ["part", "reason"],
+      registers,
+    }),
+    retries: new Counter({
+      name: "mallowlift_retries_total",
+      help: "Attempts made again, by part and result code",
+      labelNames: ["part", "reason"],
+      registers,
+    }),
+    calls: new Counter({
+      name: "mallowlift_calls_total",
+      help: "Calls that ended, by kind and result code",
+      labelNames: ["kind", "code"],
+      registers,
+    }),
+    commitSeconds: new Histogram({
+      name: "mallowlift_commit_seconds",
+      help: "Time from proposal to quorum",
+      labelNames: ["group"],
+      buckets: LATENCY_BUCKETS,
+      registers,
+    }),
+    callSeconds: new Histogram({
+      name: "mallowlift_call_seconds",
+      help: "Time from a call's arrival to its end",
+      labelNames: ["kind"],
+      buckets: LATENCY_BUCKETS,
+      registers,
+    }),
+    leading: new Gauge({
+      name: "mallowlift_leading",
+      help: "1 if this replica leads the group",
+      labelNames: ["group"],
+      registers,
+    }),
+    revision: new Gauge({
+      name: "mallowlift_configuration_revision",
+      help: "Revision of the configuration in force",
+      registers,
+    }),
+    running: new Gauge({
+      name: "mallowlift_running",
+      help: "Calls at the upstream",
+      registers,
+    }),
+    queued: new Gauge({
+      name: "mallowlift_queued",
+      help: "Calls that wait",
+      registers,
+    }),
+    cachedTokens: new Counter({
+      name: "mallowlift_cached_prompt_tokens_total",
+      help: "Prompt tokens that the engine found in its cache",
+      registers,
+    }),
+    promptTokens: new Counter({
+      name: "mallowlift_prompt_tokens_total",
+      help: "Prompt tokens sent to the engine",
+      registers,
+    }),
+    malformedFrames: new Counter({
+      name: "mallowlift_malformed_frames_total",
+      help: "Internal connections closed for what was sent on them",
+      labelNames: ["reason"],
+      registers,
+    }),
+  };
+}
+
+/** Counts a refusal under its part and reason. */
+export function countRefusal(
+  metrics: Metrics,
+  part: string,
+  code: ResultCode,
+): void {
+  metrics.refusals.inc({ part, reason: code.name });
+}
+
+/** Counts a retry under its part and reason. */
+export function countRetry(
+  metrics: Metrics,
+  part: string,
+  code: ResultCode,
+): void {
+  metrics.retries.inc({ part, reason: code.name });
+}
--- /dev/null
+++ b/packages/core/src/result/result_codes.ts
@@ -0,0 +1,237 @@
+/**
+ * The numbered result codes of mallowlift. `docs/RESULT_CODES.md` holds the
+ * same table for readers and is checked against this module by a test.
+ */
+
+/** One row of the result code table. */
+export interface ResultCode {
+  /** Stable number, shown to callers. */
+  readonly number: number;
+  /** Stable name, used in metrics and logs. */
+  readonly name: string;
+  /** HTTP status that carries the code to callers and operators. */
+  readonly httpStatus: number;
+  /** True if the code promises that the call did not run and will not run. */
+  readonly notRun: boolean;
+  /** What the code means, in one sentence. */
+  readonly meaning: string;
+}
+
+function defineCode(
+  number: number,
+  name: string,
+  details: { httpStatus: number; notRun: boolean; meaning: string },
+): ResultCode {
+  return { number, name, ...details };
+}
+
+/** Every result code, by name. */
+export const RESULT_CODES = {
+  OK: defineCode(0, "OK", {
+    httpStatus: 200,
+    notRun: false,
+    meaning: "The request was carried out.",
+  }),
+  MALFORMED_JSON: defineCode(1001, "MALFORMED_JSON", {
+    httpStatus: 400,
+    notRun: true,
+    meaning: "The body is not JSON.",
+  }),
+  BODY_TOO_LARGE: defineCode(1002, "BODY_TOO_LARGE", {
+    httpStatus: 413,
+    notRun: true,
+    meaning: "The body is larger than the limit in the settings.",
+  }),
+  INVALID_FIELD: defineCode(1003, "INVALID_FIELD", {
+    httpStatus: 400,
+    notRun: true,
+    meaning: "A field is unknown, missing, or has a value that is not allowed.",
+  }),
+  NOT_AUTHENTICATED: defineCode(1004, "NOT_AUTHENTICATED", {
+    httpStatus: 401,
+    notRun: true,
+    meaning: "The bearer token is missing or unknown.",
+  }),
+  PROGRAM_NOT_FOUND: defineCode(1005, "PROGRAM_NOT_FOUND", {
+    httpStatus: 404,
+    notRun: true,
+    meaning: "No program of this outfit has this id.",
+  }),
+  RESOURCE_NOT_FOUND: defineCode(1006, "RESOURCE_NOT_FOUND", {
+    httpStatus: 404,
+    notRun: true,
+    meaning: "No resource of this kind has this name.",
+  }),
+  VERSION_CONFLICT: defineCode(1007, "VERSION_CONFLICT", {
+    httpStatus: 409,
+    notRun: true,
+    meaning: "The resource has another version than the order expects.",
+  }),
+  REQUEST_ID_REUSED: defineCode(1008, "REQUEST_ID_REUSED", {
+    httpStatus: 409,
+    notRun: true,
+    meaning: "The request or order id was used before with other content.",
+  }),
+  ROUTE_NOT_FOUND: defineCode(1009, "ROUTE_NOT_FOUND", {
+    httpStatus: 404,
+    notRun: true,
+    meaning: "The path or method does not exist.",
+  }),
+  NOT_ALLOWED: defineCode(1010, "NOT_ALLOWED", {
+    httpStatus: 403,
+    notRun: true,
+    meaning: "The outfit may not use this model or service.",
+  }),
+  REVISION_GONE: defineCode(1011, "REVISION_GONE", {
+    httpStatus: 410,
+    notRun: true,
+    meaning: "The watch starts before the oldest change that is kept.",
+  }),
+  QUEUE_FULL: defineCode(2001, "QUEUE_FULL", {
+    httpStatus: 503,
+    notRun: true,
+    meaning: "Every suitable upstream has a full queue.",
+  }),
+  NO_UPSTREAM: defineCode(2002, "NO_UPSTREAM", {
+    httpStatus: 503,
+    notRun: true,
+    meaning: "No live upstream serves this model or service.",
+  }),
+  CONFIGURATION_STALE: defineCode(2003, "CONFIGURATION_STALE", {
+    httpStatus: 503,
+    notRun: true,
+    meaning: "The process could not confirm its configuration in time.",
+  }),
+  NO_LEADER: defineCode(2004, "NO_LEADER", {
+    httpStatus: 503,
+    notRun: true,
+    meaning: "No leader answered for the group of this program.",
+  }),
+  BUDGET_EXCEEDED: defineCode(2005, "BUDGET_EXCEEDED", {
+    httpStatus: 402,
+    notRun: true,
+    meaning: "The call could exceed the token budget of the program.",
+  }),
+  TURN_LIMIT: defineCode(2006, "TURN_LIMIT", {
+    httpStatus: 409,
+    notRun: true,
+    meaning: "The program has used all its turns.",
+  }),
+  DEADLINE_PASSED: defineCode(2007, "DEADLINE_PASSED", {
+    httpStatus: 409,
+    notRun: true,
+    meaning: "The deadline of the program has passed.",
+  }),
+  PROGRAM_ENDED: defineCode(2008, "PROGRAM_ENDED", {
+    httpStatus: 409,
+    notRun: true,
+    meaning: "The program has ended.",
+  }),
+  DRAINING: defineCode(2009, "DRAINING", {
+    httpStatus: 503,
+    notRun: true,
+    meaning: "The process or upstream is leaving and takes no new work.",
+  }),
+  STALE_TERM: defineCode(2010, "STALE_TERM", {
+    httpStatus: 503,
+    notRun: true,
+    meaning: "The dispatch carries an older term than the sidecar has seen.",
+  }),
+  ATTEMPTS_EXHAUSTED: defineCode(2011, "ATTEMPTS_EXHAUSTED", {
+    httpStatus: 503,
+    notRun: true,
+    meaning: "Every attempt was refused before it ran.",
+  }),
+  TOO_MANY_CALLS: defineCode(2012, "TOO_MANY_CALLS", {
+    httpStatus: 429,
+    notRun: true,
+    meaning: "Too many calls of this program or outfit wait already.",
+  }),
+  OUTCOME_UNKNOWN: defineCode(3001, "OUTCOME_UNKNOWN", {
+    httpStatus: 502,
+    notRun: false,
+    meaning: "The call may have run. It is never sent again.",
+  }),
+  UPSTREAM_ERROR: defineCode(3002, "UPSTREAM_ERROR", {
+    httpStatus: 502,
+    notRun: false,
+    meaning: "The upstream answered with an error.",
+  }),
+  RETRIES_EXHAUSTED: defineCode(3003, "RETRIES_EXHAUSTED", {
+    httpStatus: 502,
+    notRun: false,
+    meaning: "An idempotent call failed on every attempt it was allowed.",
+  }),
+  CANCELLED: defineCode(3004, "CANCELLED", {
+    httpStatus: 409,
+    notRun: false,
+    meaning: "The program ended while the call was under way.",
+  }),
+  FRAME_TOO_LARGE: defineCode(4001, "FRAME_TOO_LARGE", {
+    httpStatus: 500,
+    notRun: true,
+    meaning: "An internal frame is larger than the limit.",
+  }),
+  FRAME_MALFORMED: defineCode(4002, "FRAME_MALFORMED", {
+    httpStatus: 500,
+    notRun: true,
+    meaning: "An internal frame does not decode to a known message.",
+  }),
+  HANDSHAKE_REFUSED: defineCode(4003, "HANDSHAKE_REFUSED", {
+    httpStatus: 500,
+    notRun: true,
+    meaning: "The peer did not prove the shared key or speaks another version.",
+  }),
+  NOT_LEADER: defineCode(4004, "NOT_LEADER", {
+    httpStatus: 503,
+    notRun: true,
+    meaning: "This replica does not lead the group.",
+  }),
+  TIMEOUT: defineCode(4005, "TIMEOUT", {
+    httpStatus: 504,
+    notRun: false,
+    meaning: "A peer did not answer in time.",
+  }),
+  CONNECTION_LOST: defineCode(4006, "CONNECTION_LOST", {
+    httpStatus: 503,
+    notRun: false,
+    meaning: "The connection to a peer broke before it answered.",
+  }),
+  NOT_CONNECTED: defineCode(4007, "NOT_CONNECTED", {
+    httpStatus: 503,
+    notRun: true,
+    meaning: "There is no connection to the peer, so nothing was sent.",
+  }),
+  UNKNOWN_METHOD: defineCode(4008, "UNKNOWN_METHOD", {
+    httpStatus: 500,
+    notRun: true,
+    meaning: "The peer does not serve this internal method.",
+  }),
+  UNKNOWN_ATTEMPT: defineCode(4009, "UNKNOWN_ATTEMPT", {
+    httpStatus: 500,
+    notRun: false,
+    meaning: "The sidecar does not know this attempt.",
+  }),
+  INTERNAL: defineCode(5001, "INTERNAL", {
+    httpStatus: 500,
+    notRun: false,
+    meaning: "A fault inside mallowlift; the log has the details.",
+  }),
+} as const;
+
+/** Name of a result code. */
+export type ResultCodeName = keyof typeof RESULT_CODES;
+
+/**
+ * Finds a result code by its name, as read from a peer.
+ *
+ * @example
+ * ```ts
+ * findResultCode("QUEUE_FULL").number; // 2001
+ * findResultCode("garbage").name; // "INTERNAL"
+ * ```
+ */
+export function findResultCode(name: string): ResultCode {
+  if (!Object.hasOwn(RESULT_CODES, name)) return RESULT_CODES.INTERNAL;
+  return RESULT_CODES[name as ResultCodeName];
+}
--- /dev/null
+++ b/packages/core/src/shared/token_measure.ts
@@ -0,0 +1,26 @@
+/** The measure of tokens that budgets are kept in. */
+
+import { Buffer } from "node:buffer";
+import type { ChatMessage } from "../types/calls.ts";
+
+const BYTES_PER_TOKEN = 4;
+const TOKENS_PER_MESSAGE = 4;
+
+/**
+ * Measures new prompt messages in tokens: one for every four bytes of UTF-8,
+ * rounded up, and four for each message. Engines count differently; budgets
+ * use this measure for what a caller sends, so that a reservation is exact.
+ *
+ * @example
+ * ```ts
+ * measureMessages([{ role: "user", content: "stake 12" }]); // 6
+ * ```
+ */
+export function measureMessages(messages: readonly ChatMessage[]): number {
+  let tokens = 0;
+  for (const message of messages) {
+    tokens += TOKENS_PER_MESSAGE;
+    tokens += Math.ceil(Buffer.byteLength(message.content) / BYTES_PER_TOKEN);
+  }
+  return tokens;
+}
--- /dev/null
+++ b/packages/core/src/supervisor/supervisor.ts
@@ -0,0 +1,114 @@
+/**
+ * A supervisor tree. A supervisor starts its children in order, restarts a
+ * child that fails, and stops them in reverse order. A child that fails too
+ * often fails its supervisor, and at the root ends the process.
+ */
+
+import type { Logger } from "../logs/logger.ts";
+import { createDeferred, type Deferred, sleep } from "../shared/sleep.ts";
+import { describeThrown } from "../result/coded_error.ts";
+
+const RESTART_DELAY_MILLISECONDS = 100;
+
+/** A part of a daemon that can be started and stopped. */
+export interface Child {
+  readonly name: string;
+  /** Starts the child; resolves when it is ready. */
+  start(): Promise<void>;
+  /** Resolves or rejects when the child ends without having been stopped. */
+  readonly ended?: Promise<void>;
+  /** Stops the child; open work is finished first. */
+  stop(): Promise<void>;
+}
+
+/** Makes a child; called again for each restart. */
+export type ChildFactory = () => Child;
+
+/** How a supervisor restarts its children. */
+export interface SupervisorOptions {
+  readonly logger: Logger;
+  /** Restarts within the interval that fail the supervisor. */
+  readonly maxRestarts: number;
+  readonly intervalMilliseconds: number;
+}
+
+interface Slot {
+  readonly factory: ChildFactory;
+  child: Child | undefined;
+}
+
+/** Starts, restarts and stops children; is itself a child. */
+export class Supervisor implements Child {
+  readonly name: string;
+  readonly #options: SupervisorOptions;
+  readonly #slots: Slot[] = [];
+  readonly #ended: Deferred<Error> = createDeferred<Error>();
+  #restartTimes: number[] = [];
+  #stopping = false;
+
+  constructor(name: string, options: SupervisorOptions) {
+    this.name = name;
+    this.#options = options;
+  }
+
+  /** Rejects when a child fails more often than allowed. */
+  get ended(): Promise<void> {
+    return this.#ended.promise.then((error) => {
+      throw error;
+    });
+  }
+
+  /** Adds a child; it starts with {@linkcode Supervisor.start}. */
+  add(factory: ChildFactory): void {
+    this.#slots.push({ factory, child: undefined });
+  }
+
+  /** Starts the children in the order they were added. */
+  async start(): Promise<void> {
+    for (const slot of this.#slots) await this.#startSlot(slot);
+  }
+
+  /** Stops the children in reverse order. */
+  async stop(): Promise<void> {
+    this.#stopping = true;
+    for (const slot of this.#slots.toReversed()) {
+      const child = slot.child;
+      slot.child = undefined;
+      if (child !== undefined) await child.stop();
+    }
+  }
+
+  async #startSlot(slot: Slot): Promise<void> {
+    const child = slot.factory();
+    await child.start();
+    slot.child = child;
+    this.#options.logger.debug("Child started", { child: child.name });
+    if (child.ended !== undefined) void this.#watch(slot, child.ended);
+  }
+
+  async #watch(slot: Slot, ended: Promise<void>): Promise<void> {
+    const reason = await ended.then(
+      () => "ended",
+      (thrown) => describeThrown(thrown).message,
+    );
+    if (this.#stopping) return;
+    const name = slot.child?.name ?? "";
+    this.#options.logger.error("Child failed", { child: name, reason });
+    const now = Date.now();
+    const since = now - this.#options.intervalMilliseconds;
+    this.#restartTimes = this.#restartTimes.filter((time) => time > since);
+    this.#restartTimes.push(now);
+    if (this.#restartTimes.length > this.#options.maxRestarts) {
+      this.#ended.resolve(
+        new Error(`Child ${name} failed too often: ${reason}`),
+      );
+      return;
+    }
+    await sleep(RESTART_DELAY_MILLISECONDS);
+    try {
+      await this.#startSlot(slot);
+    } catch (thrown) {
+      void this.#watch(slot, Promise.reject(thrown));
+    }
+  }
+}
--- /dev/null
+++ b/packages/core/src/types/mod.ts
@@ -0,0 +1,8 @@
+/** Entity types. */
+
+export * from "./calls.ts";
+export * from "./consensus.ts";
+export * from "./internal_handlers.ts";
+export * from "./programs.ts";
+export * from "./resources.ts";
+export * from "./sidecars.ts";
