--- /dev/null
+++ b/packages/transport/src/connection.ts
@@ -0,0 +1,248 @@
+/** One open connection, on which both calls and answers travel. */
+
+import type { Buffer } from "node:buffer";
+import type { Socket } from "node:net";
+import {
+  createDeferred,
+  decodeError,
+  type Deferred,
+  describeThrown,
+  encodeError,
+  fail,
+  type HandlerName,
+  type InternalHandlers,
+  type Outcome,
+  RESULT_CODES,
+  type ResultCode,
+  type WireError,
+} from "@mallowlift/core";
+import { Ok } from "ts-results";
+import {
+  checkFrame,
+  encodeFrame,
+  type Frame,
+  type FrameReader,
+} from "./frame.ts";
+import type {
+  CallContext,
+  Caller,
+  CallOptions,
+  HandlerTable,
+} from "./handlers.ts";
+
+const PING_MILLISECONDS = 1_000;
+const SILENCE_MILLISECONDS = 4_000;
+const MAX_UNSENT_BYTES = 256 * 1_024 * 1_024;
+
+interface PendingCall {
+  readonly done: Deferred<Outcome<unknown>>;
+  readonly onChunk: ((chunk: never) => void) | undefined;
+}
+
+type AnyHandler = (
+  request: unknown,
+  context: CallContext<unknown>,
+) => Promise<Outcome<unknown>>;
+
+/** What a connection is made from once the handshake is over. */
+export interface ConnectionParts {
+  readonly socket: Socket;
+  readonly reader: FrameReader;
+  readonly peer: string;
+  readonly handlers: HandlerTable;
+  /** Counts a connection closed for what was sent on it. */
+  readonly onMalformed: (code: ResultCode) => void;
+}
+
+/** A connection whose peer has proved the shared key. */
+export class Connection implements Caller {
+  readonly peer: string;
+  readonly closed: Promise<void>;
+  readonly #parts: ConnectionParts;
+  readonly #closed: Deferred<void> = createDeferred<void>();
+  readonly #pending = new Map<number, PendingCall>();
+  readonly #served = new Map<number, AbortController>();
+  readonly #pinger: NodeJS.Timeout;
+  #nextId = 1;
+  #open = true;
+  #corked = false;
+  #lastHeardAt = Date.now();
+
+  constructor(parts: ConnectionParts) {
+    this.#parts = parts;
+    this.peer = parts.peer;
+    this.closed = this.#closed.promise;
+    parts.socket.setNoDelay(true);
+    parts.socket.on("data", (bytes: Buffer) => this.#read(bytes));
+    parts.socket.on("error", () => this.close());
+    parts.socket.on("close", () => this.close());
+    this.#pinger = setInterval(() => this.#ping(Date.now()), PING_MILLISECONDS);
+    this.#pinger.unref();
+  }
+
+  /** True until the connection closes. */
+  get isOpen(): boolean {
+    return this.#open;
+  }
+
+  /** Handles bytes that came together with the end of the handshake. */
+  readAhead(messages: readonly unknown[]): void {
+    for (const message of messages) this.#handleMessage(message);
+  }
+
+  /** Calls a method of the peer; see {@linkcode Caller}. */
+  async call<N extends HandlerName>(
+    name: N,
+    request: InternalHandlers[N]["request"],
+    options: CallOptions<N>,
+  ): Promise<Outcome<InternalHandlers[N]["reply"]>> {
+    if (!this.#open) {
+      return fail(RESULT_CODES.NOT_CONNECTED, "The connection is closed");
+    }
+    const id = this.#nextId++;
+    const done = createDeferred<Outcome<unknown>>();
+    this.#pending.set(id, {
+      done,
+      onChunk: options.onChunk as PendingCall["onChunk"],
+    });
+    this.#send({ type: "call", id, name, body: request });
+    const giveUp = (code: ResultCode, message: string) => {
+      if (!this.#pending.delete(id)) return;
+      this.#send({ type: "cancel", id });
+      done.resolve(fail(code, message));
+    };
+    const abort = () =>
+      giveUp(RESULT_CODES.CANCELLED, "The call was cancelled");
+    const timer = setTimeout(
+      () => giveUp(RESULT_CODES.TIMEOUT, `No answer to ${name} in time`),
+      options.timeoutMilliseconds,
+    );
+    options.signal?.addEventListener("abort", abort, { once: true });
+    if (options.signal?.aborted) abort();
+    const outcome = await done.promise;
+    clearTimeout(timer);
+    options.signal?.removeEventListener("abort", abort);
+    return outcome as Outcome<InternalHandlers[N]["reply"]>;
+  }
+
+  /** Closes the connection; calls under way end with CONNECTION_LOST. */
+  close(): void {
+    if (!this.#open) return;
+    this.#open = false;
+    clearInterval(this.#pinger);
+    this.#parts.socket.destroy();
+    for (const pending of this.#pending.values()) {
+      pending.done.resolve(
+        fail(RESULT_CODES.CONNECTION_LOST, "The connection broke"),
+      );
+    }
+    this.#pending.clear();
+    for (const controller of this.#served.values()) controller.abort();
+    this.#served.clear();
+    this.#closed.resolve(undefined);
+  }
+
+  #ping(now: number): void {
+    if (now - this.#lastHeardAt > SILENCE_MILLISECONDS) return this.close();
+    this.#send({ type: "ping", id: 0 });
+  }
+
+  #send(frame: Frame): void {
+    if (!this.#open) return;
+    const socket = this.#parts.socket;
+    if (socket.writableLength > MAX_UNSENT_BYTES) return this.close();
+    if (!this.#corked) {
+      // Frames of one turn of the event loop share one packet.
+      this.#corked = true;
+      socket.cork();
+      setImmediate(() => {
+        this.#corked = false;
+        socket.uncork();
+      });
+    }
+    socket.write(encodeFrame(frame));
+  }
+
+  #read(bytes: Buffer): void {
+    this.#lastHeardAt = Date.now();
+    const messages = this.#parts.reader.push(bytes);
+    if (messages.err) return this.#reject(messages.val.code);
+    for (const message of messages.val) this.#handleMessage(message);
+  }
+
+  #handleMessage(message: unknown): void {
+    const frame = checkFrame(message);
+    if (frame.err) return this.#reject(frame.val.code);
+    this.#handleFrame(frame.val);
+  }
+
+  #reject(code: ResultCode): void {
+    this.#parts.onMalformed(code);
+    this.close();
+  }
+
+  #handleFrame(frame: Frame): void {
+    if (frame.type === "call") return void this.#serve(frame);
+    if (frame.type === "cancel") return this.#served.get(frame.id)?.abort();
+    const pending = this.#pending.get(frame.id);
+    if (pending === undefined) return;
+    if (frame.type === "chunk") return pending.onChunk?.(frame.body as never);
+    if (frame.type === "reply") return this.#finish(frame.id, Ok(frame.body));
+    if (frame.type !== "error") return;
+    const error = decodeError(frame.body as WireError);
+    this.#finish(
+      frame.id,
+      fail(error.code, error.message, error.retryAfterMilliseconds),
+    );
+  }
+
+  #finish(id: number, outcome: Outcome<unknown>): void {
+    const pending = this.#pending.get(id);
+    this.#pending.delete(id);
+    pending?.done.resolve(outcome);
+  }
+
+  async #serve(frame: Frame): Promise<void> {
+    const controller = new AbortController();
+    this.#served.set(frame.id, controller);
+    const outcome = await this.#runHandler(frame, controller.signal);
+    this.#served.delete(frame.id);
+    if (controller.signal.aborted) return;
+    if (outcome.ok) {
+      this.#send({ type: "reply", id: frame.id, body: outcome.val });
+      return;
+    }
+    this.#send({ type: "error", id: frame.id, body: encodeError(outcome.val) });
+  }
+
+  async #runHandler(
+    frame: Frame,
+    signal: AbortSignal,
+  ): Promise<Outcome<unknown>> {
+    const name = frame.name ?? "";
+    const handlers = this.#parts.handlers as Readonly<
+      Record<string, AnyHandler>
+    >;
+    const handler = Object.hasOwn(handlers, name) ? handlers[name] : undefined;
+    if (handler === undefined) {
+      return fail(
+        RESULT_CODES.UNKNOWN_METHOD,
+        "This process has no such method",
+      );
+    }
+    const context: CallContext<unknown> = {
+      peer: this.peer,
+      signal,
+      sendChunk: (body) => {
+        if (signal.aborted) return;
+        this.#send({ type: "chunk", id: frame.id, body });
+      },
+    };
+    try {
+      return await handler(frame.body, context);
+    } catch (thrown) {
+      const error = describeThrown(thrown);
+      return fail(error.code, error.message);
+    }
+  }
+}
--- /dev/null
+++ b/packages/transport/src/peer_links.ts
@@ -0,0 +1,39 @@
+/** The links of one daemon, one per address. */
+
+import { PeerLink, type PeerLinkOptions } from "./peer_link.ts";
+
+const IDLE_MILLISECONDS = 120_000;
+
+/** Makes links when they are first needed and drops idle ones. */
+export class PeerLinks {
+  readonly #options: PeerLinkOptions;
+  readonly #links = new Map<string, PeerLink>();
+
+  constructor(options: PeerLinkOptions) {
+    this.#options = options;
+  }
+
+  /** Returns the link to an address. */
+  get(address: string): PeerLink {
+    const known = this.#links.get(address);
+    if (known !== undefined) return known;
+    const link = new PeerLink(address, this.#options);
+    this.#links.set(address, link);
+    return link;
+  }
+
+  /** Drops links that carried nothing for a while. */
+  dropIdle(now: number): void {
+    for (const link of this.#links.values()) {
+      if (now - link.lastUsedAt < IDLE_MILLISECONDS) continue;
+      link.stop();
+      this.#links.delete(link.address);
+    }
+  }
+
+  /** Closes all links. */
+  stop(): void {
+    for (const link of this.#links.values()) link.stop();
+    this.#links.clear();
+  }
+}
--- /dev/null
+++ b/packages/transport/src/peer_server.ts
@@ -0,0 +1,170 @@
+/** Accepts connections from other daemons; one task per connection. */
+
+import type { Buffer } from "node:buffer";
+import { createServer, type Server, type Socket } from "node:net";
+import {
+  createDeferred,
+  type Logger,
+  type Metrics,
+  RESULT_CODES,
+  type ResultCode,
+  waitAtMost,
+} from "@mallowlift/core";
+import { joinAddress, parseAddress } from "./address.ts";
+import { Connection } from "./connection.ts";
+import { encodeFrame, FrameReader } from "./frame.ts";
+import type { HandlerTable } from "./handlers.ts";
+import {
+  checkProof,
+  type ClientProof,
+  createHello,
+  createProof,
+  HANDSHAKE_MAX_BYTES,
+  readNonce,
+} from "./handshake.ts";
+
+/** What a server needs. */
+export interface PeerServerOptions {
+  readonly listen: string;
+  readonly sharedKey: string;
+  readonly maxFrameBytes: number;
+  readonly handshakeMilliseconds: number;
+  readonly handlers: HandlerTable;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+}
+
+/** Listens for other daemons. */
+export class PeerServer {
+  readonly #options: PeerServerOptions;
+  readonly #server: Server;
+  readonly #sockets = new Set<Socket>();
+
+  constructor(options: PeerServerOptions) {
+    this.#options = options;
+    this.#server = createServer((socket) => void this.#accept(socket));
+  }
+
+  /** Starts to listen and returns the bound address. */
+  async start(): Promise<string> {
+    const { host, port } = parseAddress(this.#options.listen);
+    const ready = createDeferred<Error | undefined>();
+    this.#server.once("error", (error) => ready.resolve(error));
+    this.#server.listen(port, host, () => ready.resolve(undefined));
+    const failure = await ready.promise;
+    if (failure !== undefined) throw failure;
+    const bound = this.#server.address();
+    if (bound === null || typeof bound === "string") {
+      return this.#options.listen;
+    }
+    return joinAddress({ host, port: bound.port });
+  }
+
+  /** Stops listening and closes all connections. */
+  async stop(): Promise<void> {
+    const closed = createDeferred<void>();
+    this.#server.close(() => closed.resolve(undefined));
+    for (const socket of this.#sockets) socket.destroy();
+    await closed.promise;
+  }
+
+  async #accept(socket: Socket): Promise<void> {
+    this.#sockets.add(socket);
+    socket.on("error", () => socket.destroy());
+    socket.on("close", () => this.#sockets.delete(socket));
+    const reader = new FrameReader(HANDSHAKE_MAX_BYTES);
+    const messages = new HandshakeMessages(socket, reader);
+    const limit = this.#options.handshakeMilliseconds;
+    const peer = await waitAtMost(this.#shakeHands(socket, messages), limit);
+    if (peer === undefined) {
+      this.#countMalformed(RESULT_CODES.HANDSHAKE_REFUSED);
+      socket.end(
+        encodeFrame({ refused: RESULT_CODES.HANDSHAKE_REFUSED.number }),
+      );
+      setTimeout(() => socket.destroy(), limit).unref();
+      return;
+    }
+    messages.stop();
+    reader.setLimit(this.#options.maxFrameBytes);
+    const connection = new Connection({
+      socket,
+      reader,
+      peer,
+      handlers: this.#options.handlers,
+      onMalformed: (code) => this.#countMalformed(code),
+    });
+    connection.readAhead(messages.takeRest());
+  }
+
+  async #shakeHands(
+    socket: Socket,
+    messages: HandshakeMessages,
+  ): Promise<string | undefined> {
+    const clientNonce = readNonce(await messages.next());
+    if (clientNonce === undefined) return undefined;
+    const hello = createHello();
+    const nonces = { client: clientNonce, server: hello.nonce };
+    const sharedKey = this.#options.sharedKey;
+    const proof = createProof("server", nonces, sharedKey);
+    socket.write(encodeFrame({ ...hello, proof }));
+    const answer = await messages.next() as Partial<ClientProof> | undefined;
+    const proved = checkProof("client", nonces, {
+      sharedKey,
+      proof: answer?.proof,
+    });
+    if (!proved || typeof answer?.name !== "string") return undefined;
+    return answer.name;
+  }
+
+  #countMalformed(code: ResultCode): void {
+    this.#options.metrics.malformedFrames.inc({ reason: code.name });
+    this.#options.logger.warn("Connection refused", { code: code.number });
+  }
+}
+
+/** Hands out the messages of a handshake one by one. */
+export class HandshakeMessages {
+  readonly #socket: Socket;
+  readonly #reader: FrameReader;
+  readonly #messages: unknown[] = [];
+  #waiting = createDeferred<void>();
+  #ended = false;
+  readonly #onData = (bytes: Buffer): void => {
+    const messages = this.#reader.push(bytes);
+    if (messages.err) this.#ended = true;
+    else this.#messages.push(...messages.val);
+    this.#waiting.resolve(undefined);
+  };
+  readonly #onClose = (): void => {
+    this.#ended = true;
+    this.#waiting.resolve(undefined);
+  };
+
+  constructor(socket: Socket, reader: FrameReader) {
+    this.#socket = socket;
+    this.#reader = reader;
+    socket.on("data", this.#onData);
+    socket.on("close", this.#onClose);
+  }
+
+  /** Returns the next message, or undefined if none can come. */
+  async next(): Promise<unknown> {
+    while (this.#messages.length === 0) {
+      if (this.#ended) return undefined;
+      await this.#waiting.promise;
+      this.#waiting = createDeferred<void>();
+    }
+    return this.#messages.shift();
+  }
+
+  /** Leaves the socket to its next reader. */
+  stop(): void {
+    this.#socket.off("data", this.#onData);
+    this.#socket.off("close", this.#onClose);
+  }
+
+  /** Returns messages that came after the handshake. */
+  takeRest(): readonly unknown[] {
+    return this.#messages.splice(0);
+  }
+}
