--- /dev/null
+++ b/packages/configuration/src/mod.ts
@@ -0,0 +1,6 @@
+/** The configuration: its replicated state, and following it. */
+
+export * from "./resource_schemas.ts";
+export * from "./configuration_state.ts";
+export * from "./configuration_view.ts";
+export * from "./configuration_follower.ts";
--- /dev/null
+++ b/packages/consensus/src/group/leadership.ts
@@ -0,0 +1,258 @@
+/** One term of leading a group: replication to each peer, and commitment. */
+
+import { performance } from "node:perf_hooks";
+import {
+  type AppendReply,
+  type AppendRequest,
+  fail,
+  type Member,
+  type MemberLag,
+  type Outcome,
+  RESULT_CODES,
+  sleep,
+  WakeSignal,
+} from "@mallowlift/core";
+import type { Caller } from "@mallowlift/transport";
+import { Ok } from "ts-results";
+import type { GroupLog } from "./group_log.ts";
+import type { GroupOptions } from "./group_options.ts";
+import { isSameReplica, type Membership } from "./membership.ts";
+import { PeerProgress } from "./peer_progress.ts";
+import { sendSnapshot } from "./send_snapshot.ts";
+
+const RETRY_MILLISECONDS = 20;
+
+/** What a leadership uses of its group. */
+export interface LeadershipParts {
+  readonly term: number;
+  readonly options: GroupOptions;
+  readonly log: GroupLog;
+  readonly membership: Membership;
+  /** Last own entry that is synced. */
+  getSyncedIndex(): number;
+  getCommitIndex(): number;
+  /** A quorum holds everything up to this index. */
+  onCommit(index: number): void;
+  /** A peer knows a later term. */
+  onHigherTerm(term: number): void;
+}
+
+/** Replicates the log for as long as the replica leads. */
+export class Leadership {
+  readonly term: number;
+  readonly startedAt: number = performance.now();
+  readonly #parts: LeadershipParts;
+  readonly #peers: PeerProgress[] = [];
+  readonly #work = new WakeSignal();
+  readonly #acked = new WakeSignal();
+  #confirmAt = -Infinity;
+  #over = false;
+
+  constructor(parts: LeadershipParts) {
+    this.#parts = parts;
+    this.term = parts.term;
+  }
+
+  /** True once the leadership has ended. */
+  get isOver(): boolean {
+    return this.#over;
+  }
+
+  /** Ends the leadership and its tasks. */
+  end(): void {
+    this.#over = true;
+    this.#work.wake();
+    this.#acked.wake();
+  }
+
+  /** Starts and ends replication as the membership asks. */
+  followMembership(now: number): void {
+    const { options, membership, log } = this.#parts;
+    for (const peer of this.#peers) {
+      peer.removed = membership.find(peer.member) === undefined;
+    }
+    for (const member of membership.members) {
+      if (isSameReplica(member, options.identity)) continue;
+      const known = this.findPeer(member);
+      if (known !== undefined && !known.removed) {
+        known.member = member;
+        continue;
+      }
+      const peer = new PeerProgress(member, {
+        nextIndex: log.lastIndex + 1,
+        now,
+      });
+      this.#peers.push(peer);
+      void this.#replicate(peer);
+    }
+    this.#work.wake();
+  }
+
+  /** Returns the progress of a member. */
+  findPeer(member: Member): PeerProgress | undefined {
+    return this.#peers.find((peer) =>
+      !peer.removed && isSameReplica(peer.member, member)
+    );
+  }
+
+  /** Tells the replication tasks that there are new entries. */
+  wake(): void {
+    this.#work.wake();
+  }
+
+  /** Commits what a quorum of voters has on disk. */
+  advanceCommit(): void {
+    if (this.#over) return;
+    const { membership, log, options } = this.#parts;
+    const indexes: number[] = [];
+    for (const voter of membership.voters) {
+      if (isSameReplica(voter, options.identity)) {
+        indexes.push(this.#parts.getSyncedIndex());
+      } else indexes.push(this.findPeer(voter)?.matchIndex ?? 0);
+    }
+    indexes.sort((left, right) => right - left);
+    const index = indexes[membership.quorum - 1] ?? 0;
+    if (index <= this.#parts.getCommitIndex()) return;
+    // Only entries of the own term commit by counting; earlier ones come with them.
+    if (log.findTerm(index) !== this.term) return;
+    this.#parts.onCommit(index);
+    this.#work.wake();
+  }
+
+  /**
+   * Resolves when a quorum has answered a request sent after this call, so
+   * that no later leader can have committed anything before it.
+   */
+  async confirm(limitMilliseconds: number): Promise<Outcome<void>> {
+    const askedAt = performance.now();
+    this.#confirmAt = Math.max(this.#confirmAt, askedAt);
+    this.#work.wake();
+    while (!this.#over) {
+      if (this.countAckedSince(askedAt) >= this.#parts.membership.quorum) {
+        return Ok(undefined);
+      }
+      const left = askedAt + limitMilliseconds - performance.now();
+      if (left <= 0) break;
+      await this.#acked.wait(left);
+    }
+    return fail(
+      RESULT_CODES.NOT_LEADER,
+      "Leadership is not confirmed by a quorum",
+    );
+  }
+
+  /** Counts the voters, with this replica, that answered a request sent since. */
+  countAckedSince(since: number): number {
+    const { membership, options } = this.#parts;
+    let count = 0;
+    for (const voter of membership.voters) {
+      const own = isSameReplica(voter, options.identity);
+      const ackedSentAt = this.findPeer(voter)?.ackedSentAt ?? -Infinity;
+      if (own || ackedSentAt >= since) count++;
+    }
+    return count;
+  }
+
+  /** How far each member is behind. */
+  describeLag(now: number): readonly MemberLag[] {
+    const lag: MemberLag[] = [];
+    for (const peer of this.#peers) {
+      if (peer.removed) continue;
+      lag.push({
+        replicaId: peer.member.replicaId,
+        entries: this.#parts.log.lastIndex - peer.matchIndex,
+        silentMilliseconds: Math.round(now - peer.heardAt),
+      });
+    }
+    return lag;
+  }
+
+  async #replicate(peer: PeerProgress): Promise<void> {
+    const caller = this.#parts.options.findPeer(peer.member);
+    while (!this.#over && !peer.removed) {
+      await this.#waitForWork(peer);
+      if (this.#over || peer.removed) return;
+      if (peer.nextIndex <= this.#parts.log.baseIndex) {
+        await this.#sendSnapshot(peer, caller);
+      } else await this.#sendEntries(peer, caller);
+    }
+  }
+
+  async #waitForWork(peer: PeerProgress): Promise<void> {
+    const heartbeat = this.#parts.options.timing.heartbeatMilliseconds;
+    while (!this.#over && !peer.removed) {
+      if (peer.nextIndex <= this.#parts.log.lastIndex) return;
+      if (peer.sentAt <= this.#confirmAt) return;
+      const left = peer.sentAt + heartbeat - performance.now();
+      if (left <= 0) return;
+      await this.#work.wait(left);
+    }
+  }
+
+  async #sendEntries(peer: PeerProgress, caller: Caller): Promise<void> {
+    const { log, options } = this.#parts;
+    const previousIndex = peer.nextIndex - 1;
+    const request: AppendRequest = {
+      group: options.group,
+      term: this.term,
+      from: options.identity,
+      toIncarnation: peer.member.incarnation,
+      previousIndex,
+      previousTerm: log.findTerm(previousIndex) ?? 0,
+      entries: log.slice(peer.nextIndex),
+      commitIndex: this.#parts.getCommitIndex(),
+    };
+    const sentAt = performance.now();
+    peer.sentAt = sentAt;
+    const reply = await caller.call("consensus.append", request, {
+      timeoutMilliseconds: options.timing.electionMilliseconds,
+    });
+    if (this.#over || peer.removed) return;
+    if (reply.err) return await sleep(RETRY_MILLISECONDS);
+    this.#takeReply(peer, { reply: reply.val, sentAt });
+  }
+
+  #takeReply(
+    peer: PeerProgress,
+    answer: { readonly reply: AppendReply; readonly sentAt: number },
+  ): void {
+    const { reply, sentAt } = answer;
+    if (reply.term > this.term) return this.#parts.onHigherTerm(reply.term);
+    peer.heardAt = performance.now();
+    peer.ackedSentAt = Math.max(peer.ackedSentAt, sentAt);
+    this.#acked.wake();
+    if (!reply.accepted) {
+      peer.nextIndex = Math.max(
+        1,
+        Math.min(peer.nextIndex - 1, reply.matchIndex + 1),
+      );
+      return;
+    }
+    peer.matchIndex = Math.max(peer.matchIndex, reply.matchIndex);
+    peer.nextIndex = peer.matchIndex + 1;
+    this.advanceCommit();
+  }
+
+  async #sendSnapshot(peer: PeerProgress, caller: Caller): Promise<void> {
+    const { options } = this.#parts;
+    const snapshot = options.folder.snapshots.load(options.group);
+    if (snapshot === undefined) return await sleep(RETRY_MILLISECONDS);
+    const sentAt = performance.now();
+    peer.sentAt = sentAt;
+    const reply = await sendSnapshot(snapshot, {
+      caller,
+      term: this.term,
+      from: options.identity,
+      toIncarnation: peer.member.incarnation,
+      isWanted: () => !this.#over && !peer.removed,
+    });
+    if (this.#over || peer.removed) return;
+    if (reply.err) return await sleep(RETRY_MILLISECONDS);
+    if (reply.val.term > this.term) {
+      return this.#parts.onHigherTerm(reply.val.term);
+    }
+    peer.heardAt = performance.now();
+    peer.matchIndex = Math.max(peer.matchIndex, snapshot.lastIndex);
+    peer.nextIndex = peer.matchIndex + 1;
+  }
+}
--- /dev/null
+++ b/packages/consensus/src/group/membership_keeper.ts
@@ -0,0 +1,82 @@
+/** Decides the next membership change of a group that this replica leads. */
+
+import { type Member, MEMBER_ROLES } from "@mallowlift/core";
+
+const CAUGHT_UP_ENTRIES = 64;
+
+/** What the keeper knows of one member. */
+export interface MemberHealth {
+  readonly member: Member;
+  readonly self: boolean;
+  /** Entries that it lacks. */
+  readonly lag: number;
+  readonly silentMilliseconds: number;
+}
+
+/** Limits that the keeper works by. */
+export interface KeeperLimits {
+  readonly voterCount: number;
+  /** Silence after which a voter is given up. */
+  readonly standbyMilliseconds: number;
+  /** Silence after which a learner is not promoted. */
+  readonly freshMilliseconds: number;
+}
+
+/**
+ * Returns the members after the next change, or undefined if none is due.
+ * Changes one voter at most. A lost voter leaves only after a standby has
+ * joined, so that the group never has fewer voters than it could.
+ *
+ * @example
+ * ```ts
+ * planMembers([{ member, self: true, lag: 0, silentMilliseconds: 0 }], limits);
+ * ```
+ */
+export function planMembers(
+  health: readonly MemberHealth[],
+  limits: KeeperLimits,
+): readonly Member[] | undefined {
+  const members = health.map((known) => known.member);
+  const voters = health.filter((known) =>
+    known.member.role === MEMBER_ROLES.VOTER
+  );
+  const silent = voters.find((known) =>
+    !known.self && known.silentMilliseconds > limits.standbyMilliseconds
+  );
+  if (voters.length > limits.voterCount) {
+    if (silent === undefined) return undefined;
+    return members.filter((member) => member !== silent.member);
+  }
+  const ready = findReady(health, limits);
+  if (ready === undefined) return undefined;
+  const isWanted = voters.length < limits.voterCount || silent !== undefined;
+  if (!isWanted) return undefined;
+  return members.map((member) => member === ready ? promote(member) : member);
+}
+
+/** Returns the members once a replica with a new incarnation has joined. */
+export function addLearner(
+  members: readonly Member[],
+  joining: Member,
+): readonly Member[] {
+  const others = members.filter((member) =>
+    member.replicaId !== joining.replicaId
+  );
+  return [...others, joining];
+}
+
+function findReady(
+  health: readonly MemberHealth[],
+  limits: KeeperLimits,
+): Member | undefined {
+  for (const known of health) {
+    if (known.member.role === MEMBER_ROLES.VOTER) continue;
+    if (known.silentMilliseconds > limits.freshMilliseconds) continue;
+    if (known.lag <= CAUGHT_UP_ENTRIES) return known.member;
+  }
+  return undefined;
+}
+
+function promote(member: Member): Member {
+  return { ...member, role: MEMBER_ROLES.VOTER };
+}
--- /dev/null
+++ b/packages/consensus/src/group/peer_progress.ts
@@ -0,0 +1,29 @@
+/** What a leader knows of one other member. */
+
+import type { Member } from "@mallowlift/core";
+
+/** Progress of one member, kept by the leader. */
+export class PeerProgress {
+  member: Member;
+  /** Next entry to send. */
+  nextIndex: number;
+  /** Last entry known to be on the member's disk. */
+  matchIndex = 0;
+  /** When the newest request that was answered had been sent. */
+  ackedSentAt = -Infinity;
+  /** When a request was last sent. */
+  sentAt = -Infinity;
+  /** When the member last answered. */
+  heardAt: number;
+  /** True once the member should get no more. */
+  removed = false;
+
+  constructor(
+    member: Member,
+    options: { readonly nextIndex: number; readonly now: number },
+  ) {
+    this.member = member;
+    this.nextIndex = options.nextIndex;
+    this.heardAt = options.now;
+  }
+}
--- /dev/null
+++ b/packages/consensus/src/group/state_machine.ts
@@ -0,0 +1,19 @@
+/** What a group replicates. */
+
+/** Deterministic state that the log of a group drives. */
+export interface StateMachine {
+  /** Applies a committed command and returns the result for its proposer. */
+  apply(command: unknown, index: number): unknown;
+  /** Serializes the state. */
+  takeSnapshot(): Uint8Array;
+  /** Replaces the state by a serialized one; an empty one is the first state. */
+  restore(snapshot: Uint8Array): void;
+}
+
+/** Told when a replica starts or stops to lead a group. */
+export interface LeadershipListener {
+  /** The replica leads in this term, and its state is up to date. */
+  onLeading(term: number): void;
+  /** The replica no longer leads. */
+  onFollowing(): void;
+}
--- /dev/null
+++ b/packages/consensus/src/replica_groups.ts
@@ -0,0 +1,291 @@
+/** All groups of one replica: founding, joining, keeping members, handlers. */
+
+import { performance } from "node:perf_hooks";
+import {
+  fail,
+  type FoundingState,
+  type GroupStatus,
+  type JoinRequest,
+  type Logger,
+  type Member,
+  MEMBER_ROLES,
+  type Metrics,
+  type Outcome,
+  type ReplicaAddress,
+  RESULT_CODES,
+  sleep,
+} from "@mallowlift/core";
+import type { HandlerTable, PeerLinks } from "@mallowlift/transport";
+import { Ok } from "ts-results";
+import { decideFounding } from "./founding/founding.ts";
+import type { GroupTiming } from "./group/group_options.ts";
+import { isSameReplica } from "./group/membership.ts";
+import {
+  addLearner,
+  type MemberHealth,
+  planMembers,
+} from "./group/membership_keeper.ts";
+import { ReplicatedGroup } from "./group/replicated_group.ts";
+import type {
+  LeadershipListener,
+  StateMachine,
+} from "./group/state_machine.ts";
+import { DataFolder } from "./storage/data_folder.ts";
+
+const KEEP_MILLISECONDS = 200;
+const JOIN_TIMEOUT_MILLISECONDS = 2_000;
+
+/** What one group replicates, and who hears of its leadership. */
+export interface GroupDefinition {
+  readonly group: number;
+  readonly stateMachine: StateMachine;
+  readonly listener: LeadershipListener;
+}
+
+/** What the groups of a replica need. */
+export interface ReplicaGroupsOptions {
+  readonly replicaId: string;
+  readonly dataFolder: string;
+  readonly address: string;
+  readonly failureDomain: string;
+  readonly standby: boolean;
+  readonly replicas: readonly ReplicaAddress[];
+  readonly definitions: readonly GroupDefinition[];
+  readonly links: PeerLinks;
+  readonly timing: GroupTiming;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+}
+
+/** The groups of one replica. */
+export class ReplicaGroups {
+  readonly #options: ReplicaGroupsOptions;
+  readonly #groups = new Map<number, ReplicatedGroup>();
+  readonly #stopped = new AbortController();
+  #folder: DataFolder | undefined;
+
+  constructor(options: ReplicaGroupsOptions) {
+    this.#options = options;
+  }
+
+  /** Opens the data folder; throws if it is damaged. */
+  async open(): Promise<void> {
+    this.#folder = await DataFolder.open(this.#options.dataFolder, {
+      replicaId: this.#options.replicaId,
+      groups: this.#options.definitions.map((definition) => definition.group),
+    });
+  }
+
+  /** Starts the groups as soon as it is known whether to found or to join. */
+  async start(): Promise<void> {
+    const folder = this.#getFolder();
+    if (!folder.isFounded && !await this.#foundOrJoin(folder)) return;
+    for (const definition of this.#options.definitions) {
+      const group = this.#createGroup(definition, folder);
+      this.#groups.set(definition.group, group);
+      group.start();
+      void this.#keepMembers(group);
+      void this.#keepJoined(group);
+    }
+  }
+
+  /** Incarnation of the data folder. */
+  get incarnation(): string {
+    return this.#folder?.identity.incarnation ?? "";
+  }
+
+  /** Resolves with the error that made the disk unusable. */
+  get failed(): Promise<Error> {
+    return this.#getFolder().log.failed;
+  }
+
+  /** Returns a started group. */
+  get(group: number): ReplicatedGroup | undefined {
+    return this.#groups.get(group);
+  }
+
+  /** True if every group counts this replica and follows a leader. */
+  isHealthy(now: number): boolean {
+    if (this.#groups.size === 0) return false;
+    for (const group of this.#groups.values()) {
+      if (!group.isHealthy(now)) return false;
+    }
+    return true;
+  }
+
+  /** State of all groups. */
+  describe(now: number): readonly GroupStatus[] {
+    return [...this.#groups.values()].map((group) => group.describe(now));
+  }
+
+  /** Passes on all leaderships, then stops. */
+  async stop(): Promise<void> {
+    const groups = [...this.#groups.values()];
+    await Promise.all(groups.map((group) => group.handOver()));
+    this.#stopped.abort();
+    for (const group of groups) group.stop();
+    await this.#folder?.log.close();
+  }
+
+  /** Handlers of the replicated log. */
+  createHandlers(): HandlerTable {
+    return {
+      "consensus.vote": (request) =>
+        this.#withGroup(request.group, (group) => group.handleVote(request)),
+      "consensus.append": (request) =>
+        this.#withGroup(request.group, (group) => group.handleAppend(request)),
+      "consensus.snapshot": (request) =>
+        this.#withGroup(
+          request.group,
+          (group) => group.handleSnapshot(request),
+        ),
+      "consensus.handover": (request) =>
+        this.#withGroup(
+          request.group,
+          (group) => group.handleHandover(request),
+        ),
+      "consensus.join": (request) =>
+        this.#withGroup(request.group, (group) => handleJoin(group, request)),
+      "consensus.founding": () => Promise.resolve(Ok(this.#describeFounding())),
+    };
+  }
+
+  async #withGroup<T>(
+    number: number,
+    serve: (group: ReplicatedGroup) => Promise<Outcome<T>>,
+  ): Promise<Outcome<T>> {
+    const group = this.#groups.get(number);
+    if (group !== undefined) return await serve(group);
+    return fail(RESULT_CODES.NOT_LEADER, "The group has not started here");
+  }
+
+  #getFolder(): DataFolder {
+    if (this.#folder === undefined) {
+      throw new Error("The data folder is not open");
+    }
+    return this.#folder;
+  }
+
+  #describeSelf(folder: DataFolder): Member {
+    const { address, failureDomain, standby } = this.#options;
+    const role = standby ? MEMBER_ROLES.STANDBY : MEMBER_ROLES.LEARNER;
+    return { ...folder.identity, role, address, failureDomain };
+  }
+
+  async #foundOrJoin(folder: DataFolder): Promise<boolean> {
+    const { logger, replicas, definitions } = this.#options;
+    const decision = await decideFounding({
+      self: this.#describeSelf(folder),
+      founders: replicas,
+      findPeer: (address) => this.#options.links.get(address),
+      logger,
+      signal: this.#stopped.signal,
+    });
+    if (decision.action === "stop") return false;
+    logger.info(
+      decision.action === "found" ? "Founding the site" : "Joining the site",
+    );
+    if (decision.action === "join") return true;
+    for (const { group } of definitions) {
+      await folder.saveFounding(group, decision.members);
+    }
+    return true;
+  }
+
+  #createGroup(
+    definition: GroupDefinition,
+    folder: DataFolder,
+  ): ReplicatedGroup {
+    const { links, timing, logger, metrics, replicas } = this.#options;
+    return new ReplicatedGroup({
+      ...definition,
+      identity: folder.identity,
+      folder,
+      findPeer: (member) => links.get(member.address),
+      timing,
+      voterCount: replicas.length,
+      logger: logger.forPart("consensus"),
+      metrics,
+    });
+  }
+
+  #describeFounding(): FoundingState {
+    const folder = this.#getFolder();
+    const group = this.#options.definitions[0]?.group ?? 0;
+    const snapshot = folder.getStored(group).snapshot;
+    return {
+      identity: folder.identity,
+      founded: folder.isFounded,
+      foundingMembers: snapshot?.lastIndex === 0 ? snapshot.members : [],
+    };
+  }
+
+  /** Asks to be taken in, for as long as no leader counts this replica. */
+  async #keepJoined(group: ReplicatedGroup): Promise<void> {
+    const self = this.#describeSelf(this.#getFolder());
+    const patience = 4 * this.#options.timing.electionMilliseconds;
+    while (!this.#stopped.signal.aborted) {
+      await sleep(KEEP_MILLISECONDS, this.#stopped.signal);
+      const isMember = group.membership.find(self) !== undefined;
+      if (isMember && group.findSilence(performance.now()) < patience) continue;
+      for (const replica of this.#options.replicas) {
+        if (replica.replicaId === self.replicaId) continue;
+        const link = this.#options.links.get(replica.address);
+        const joined = await link.call(
+          "consensus.join",
+          { group: group.group, member: self },
+          { timeoutMilliseconds: JOIN_TIMEOUT_MILLISECONDS },
+        );
+        if (joined.ok) break;
+      }
+    }
+  }
+
+  /** Promotes and replaces members while this replica leads. */
+  async #keepMembers(group: ReplicatedGroup): Promise<void> {
+    const { timing, replicas } = this.#options;
+    while (!this.#stopped.signal.aborted) {
+      await sleep(KEEP_MILLISECONDS, this.#stopped.signal);
+      if (!group.isLeading) continue;
+      const planned = planMembers(this.#describeHealth(group), {
+        voterCount: replicas.length,
+        standbyMilliseconds: timing.standbyMilliseconds,
+        freshMilliseconds: 2 * timing.electionMilliseconds,
+      });
+      if (planned === undefined) continue;
+      await group.changeMembers(planned);
+      this.#options.logger.info("Members changed", { group: group.group });
+    }
+  }
+
+  #describeHealth(group: ReplicatedGroup): readonly MemberHealth[] {
+    const now = performance.now();
+    const lag = group.leadership?.describeLag(now) ?? [];
+    const identity = this.#getFolder().identity;
+    return group.membership.members.map((member) => {
+      const self = isSameReplica(member, identity);
+      const known = lag.find((peer) => peer.replicaId === member.replicaId);
+      return {
+        member,
+        self,
+        lag: self ? 0 : known?.entries ?? Infinity,
+        silentMilliseconds: self ? 0 : known?.silentMilliseconds ?? Infinity,
+      };
+    });
+  }
+}
+
+async function handleJoin(
+  group: ReplicatedGroup,
+  request: JoinRequest,
+): Promise<Outcome<Record<string, never>>> {
+  if (!group.isLeading) {
+    return fail(RESULT_CODES.NOT_LEADER, "This replica does not lead");
+  }
+  const confirmed = await group.confirmLeadership();
+  if (confirmed.err) return confirmed;
+  if (group.membership.find(request.member) !== undefined) return Ok({});
+  const members = addLearner(group.membership.members, request.member);
+  const changed = await group.changeMembers(members);
+  return changed.ok ? Ok({}) : changed;
+}
--- /dev/null
+++ b/packages/consensus/src/storage/data_folder.ts
@@ -0,0 +1,208 @@
+/** The data folder of a replica, and the incarnation it stands for. */
+
+import { randomUUID } from "node:crypto";
+import { existsSync, mkdirSync, readFileSync } from "node:fs";
+import { join } from "node:path";
+import { Buffer } from "node:buffer";
+import type { LogEntry, Member, ReplicaIdentity } from "@mallowlift/core";
+import { replaceFile } from "./durable_file.ts";
+import { type Snapshot, SnapshotStore } from "./snapshot_store.ts";
+import { type LogRecord, WriteAheadLog } from "./write_ahead_log.ts";
+
+const FORMAT_VERSION = 1;
+
+interface IdentityFile {
+  readonly format: number;
+  readonly replicaId: string;
+  readonly incarnation: string;
+}
+
+/** What the folder held for one group when it was opened. */
+export interface StoredGroup {
+  readonly group: number;
+  readonly term: number;
+  readonly votedFor: string;
+  readonly snapshot: Snapshot | undefined;
+  readonly entries: readonly LogEntry[];
+}
+
+/** An open data folder. */
+export class DataFolder {
+  readonly identity: ReplicaIdentity;
+  readonly log: WriteAheadLog;
+  readonly snapshots: SnapshotStore;
+  readonly #stored = new Map<number, StoredGroup>();
+  readonly #snapshotIndexes = new Map<number, number>();
+  #lastTurn: Promise<void> = Promise.resolve();
+
+  private constructor(path: string, identity: ReplicaIdentity) {
+    this.identity = identity;
+    this.log = new WriteAheadLog(join(path, "log"));
+    this.snapshots = new SnapshotStore(join(path, "snapshots"));
+  }
+
+  /**
+   * Opens a folder. A new folder gets a new incarnation, which is on disk
+   * before anyone hears of it.
+   */
+  static async open(path: string, options: {
+    readonly replicaId: string;
+    readonly groups: readonly number[];
+  }): Promise<DataFolder> {
+    mkdirSync(path, { recursive: true });
+    const identity = await readOrCreateIdentity(path, options.replicaId);
+    const folder = new DataFolder(path, identity);
+    const records = await folder.log.open();
+    for (const group of options.groups) folder.#loadGroup(group, records);
+    return folder;
+  }
+
+  /** True if the folder holds a founding or anything later. */
+  get isFounded(): boolean {
+    for (const stored of this.#stored.values()) {
+      if (stored.snapshot !== undefined || stored.entries.length > 0) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /** What the folder held for a group. */
+  getStored(group: number): StoredGroup {
+    const empty = {
+      group,
+      term: 0,
+      votedFor: "",
+      snapshot: undefined,
+      entries: [],
+    };
+    return this.#stored.get(group) ?? empty;
+  }
+
+  /** Writes the founding of a group. */
+  async saveFounding(group: number, members: readonly Member[]): Promise<void> {
+    const snapshot = {
+      group,
+      lastIndex: 0,
+      lastTerm: 0,
+      members,
+      state: Buffer.alloc(0),
+    };
+    await this.saveSnapshot(snapshot);
+    const stored = this.getStored(group);
+    this.#stored.set(group, { ...stored, snapshot });
+  }
+
+  /** Saves a snapshot of the own state and drops what it makes superfluous. */
+  async saveSnapshot(snapshot: Snapshot): Promise<void> {
+    await this.#inTurn(async () => {
+      if (!await this.#saveIfNewer(snapshot)) return;
+      await this.log.prune(this.#snapshotIndexes);
+    });
+  }
+
+  /** Saves a snapshot that replaces the whole log of its group. */
+  async installSnapshot(snapshot: Snapshot): Promise<void> {
+    const { group, lastIndex } = snapshot;
+    await this.#inTurn(async () => {
+      if (!await this.#saveIfNewer(snapshot)) return;
+      // Pruning waits for the reset: until then the entry at the snapshot's
+      // index is needed to tell whether later entries follow from it.
+      await this.log.append([{ kind: "reset", group, index: lastIndex }]);
+      await this.log.prune(this.#snapshotIndexes);
+    });
+  }
+
+  async #inTurn(work: () => Promise<void>): Promise<void> {
+    const turn = this.#lastTurn.then(work);
+    this.#lastTurn = turn.catch(() => undefined);
+    await turn;
+  }
+
+  async #saveIfNewer(snapshot: Snapshot): Promise<boolean> {
+    const known = this.#snapshotIndexes.get(snapshot.group) ?? -1;
+    if (snapshot.lastIndex <= known) return false;
+    await this.snapshots.save(snapshot);
+    this.#snapshotIndexes.set(snapshot.group, snapshot.lastIndex);
+    return true;
+  }
+
+  #loadGroup(group: number, records: readonly LogRecord[]): void {
+    const snapshot = this.snapshots.load(group);
+    const base = snapshot?.lastIndex ?? 0;
+    if (snapshot !== undefined) this.#snapshotIndexes.set(group, base);
+    let term = 0;
+    let votedFor = "";
+    let entries: LogEntry[] = [];
+    for (const record of records) {
+      if (record.group !== group) continue;
+      if (record.kind === "vote") {
+        term = record.term;
+        votedFor = record.votedFor;
+      } else if (record.kind === "reset") {
+        entries = [];
+      } else {
+        replaceFrom(entries, record.entry);
+      }
+    }
+    if (!followsFrom(snapshot, entries)) entries = [];
+    entries = entries.filter((entry) => entry.index > base);
+    const first = entries[0];
+    if (first !== undefined && first.index !== base + 1) {
+      throw new Error(`Log of group ${group} lacks entries after ${base}`);
+    }
+    this.#stored.set(group, { group, term, votedFor, snapshot, entries });
+  }
+}
+
+function replaceFrom(entries: LogEntry[], entry: LogEntry): void {
+  const first = entries[0];
+  if (first !== undefined) {
+    entries.length = Math.max(
+      0,
+      Math.min(entries.length, entry.index - first.index),
+    );
+  }
+  entries.push(entry);
+}
+
+/**
+ * After a crash between the install of a snapshot and the reset of the log,
+ * the log may hold entries of another history than the snapshot's.
+ */
+function followsFrom(
+  snapshot: Snapshot | undefined,
+  entries: readonly LogEntry[],
+): boolean {
+  if (snapshot === undefined) return true;
+  const last = entries.find((entry) => entry.index === snapshot.lastIndex);
+  return last === undefined || last.term === snapshot.lastTerm;
+}
+
+async function readOrCreateIdentity(
+  folder: string,
+  replicaId: string,
+): Promise<ReplicaIdentity> {
+  const path = join(folder, "identity.json");
+  if (!existsSync(path)) {
+    const identity = {
+      format: FORMAT_VERSION,
+      replicaId,
+      incarnation: randomUUID(),
+    };
+    await replaceFile(path, Buffer.from(JSON.stringify(identity)));
+    return identity;
+  }
+  const found = JSON.parse(readFileSync(path, "utf8")) as IdentityFile;
+  if (found.replicaId !== replicaId) {
+    throw new Error(
+      `Data folder belongs to replica ${found.replicaId}, not ${replicaId}`,
+    );
+  }
+  if (found.format !== FORMAT_VERSION) {
+    throw new Error(
+      `Data folder has format ${found.format}, not ${FORMAT_VERSION}`,
+    );
+  }
+  return { replicaId, incarnation: found.incarnation };
+}
--- /dev/null
+++ b/packages/programs/src/program_commands.ts
@@ -0,0 +1,109 @@
+/** How each command on programs changes the state. */
+
+import {
+  EMPTY_HISTORY_DIGEST,
+  END_REASONS,
+  type EndReason,
+  fail,
+  type Outcome,
+  RESULT_CODES,
+  serializeStable,
+} from "@mallowlift/core";
+import { Ok } from "ts-results";
+import type { FindProgram } from "./budget.ts";
+import type { CreateProgram, EndProgram } from "./commands.ts";
+import { CALL_STATES, type ProgramRecord } from "./program_records.ts";
+
+/** Creates a program; the same spec again returns the known program. */
+export function createProgram(
+  command: CreateProgram,
+  find: FindProgram,
+): Outcome<ProgramRecord> {
+  const known = find(command.programId);
+  if (known !== undefined) {
+    if (isSameSpec(known, command)) return Ok(known);
+    return fail(RESULT_CODES.REQUEST_ID_REUSED, "The request id was used for another program");
+  }
+  const attached = attachToParent(command, find);
+  if (attached.err) return attached;
+  return Ok({
+    programId: command.programId,
+    spec: command.spec,
+    tokensUsed: 0,
+    tokensReserved: 0,
+    digest: EMPTY_HISTORY_DIGEST,
+    history: [],
+    calls: new Map(),
+    openCalls: [],
+    children: [],
+    lastActivityAt: command.now,
+    ended: undefined,
+    endedAt: 0,
+  });
+}
+
+/** Ends a program and its children. Calls that wait are taken back. */
+export function endProgram(command: EndProgram, find: FindProgram): Outcome<ProgramRecord> {
+  const program = find(command.programId);
+  if (program === undefined) {
+    return fail(RESULT_CODES.PROGRAM_NOT_FOUND, "There is no such program");
+  }
+  endTree(program, { reason: command.reason, now: command.now, find });
+  return Ok(program);
+}
+
+/** Returns true if a program and everything below it has ended. */
+export function hasTreeEnded(program: ProgramRecord, find: FindProgram): boolean {
+  if (program.ended === undefined || program.openCalls.length > 0) return false;
+  for (const childId of program.children) {
+    const child = find(childId);
+    if (child !== undefined && !hasTreeEnded(child, find)) return false;
+  }
+  return true;
+}
+
+function isSameSpec(known: ProgramRecord, command: CreateProgram): boolean {
+  return serializeStable(known.spec) === serializeStable(command.spec);
+}
+
+function attachToParent(command: CreateProgram, find: FindProgram): Outcome<void> {
+  const parentId = command.spec.parent;
+  if (parentId === undefined) return Ok(undefined);
+  const parent = find(parentId);
+  if (parent === undefined || parent.spec.outfit !== command.spec.outfit) {
+    return fail(RESULT_CODES.PROGRAM_NOT_FOUND, "There is no such program");
+  }
+  if (parent.ended !== undefined) {
+    return fail(RESULT_CODES.PROGRAM_ENDED, "The parent program has ended");
+  }
+  parent.children.push(command.programId);
+  parent.lastActivityAt = command.now;
+  return Ok(undefined);
+}
+
+interface EndOptions {
+  readonly reason: EndReason;
+  readonly now: number;
+  readonly find: FindProgram;
+}
+
+function endTree(program: ProgramRecord, options: EndOptions): void {
+  if (program.ended === undefined) {
+    program.ended = options.reason;
+    program.endedAt = options.now;
+    program.lastActivityAt = options.now;
+  }
+  for (const childId of program.children) {
+    const child = options.find(childId);
+    if (child === undefined || child.ended !== undefined) continue;
+    endTree(child, { ...options, reason: END_REASONS.PARENT });
+  }
+}
+
+/** Returns true if a call of the program may be running. */
+export function hasDispatchedCall(program: ProgramRecord): boolean {
+  for (const requestId of program.openCalls) {
+    if (program.calls.get(requestId)?.state === CALL_STATES.DISPATCHED) return true;
+  }
+  return false;
+}
