--- /dev/null
+++ b/packages/bench/src/site/site_client.ts
@@ -0,0 +1,209 @@
+/** Calls a site as its callers and operators do, over HTTP. */
+
+import { Agent } from "node:http";
+import type { Buffer } from "node:buffer";
+import Wreck from "@hapi/wreck";
+import { OPERATOR_TOKEN } from "./site_plan.ts";
+
+const TIMEOUT_MILLISECONDS = 60_000;
+
+/** An answer with its status. */
+export interface SiteAnswer {
+  readonly status: number;
+  // deno-lint-ignore no-explicit-any -- tests and examples read many shapes
+  readonly body: any;
+}
+
+/** A streamed answer, as it came. */
+export interface StreamedAnswer extends SiteAnswer {
+  /** Text of all chunks. */
+  readonly text: string;
+  /** When each chunk came, in milliseconds since the call. */
+  readonly chunkTimes: readonly number[];
+  /** True if the end mark came. */
+  readonly whole: boolean;
+}
+
+/** What to send. */
+export interface SiteRequest {
+  readonly method: string;
+  readonly path: string;
+  readonly body?: object;
+  readonly token?: string;
+  readonly timeoutMilliseconds?: number;
+}
+
+/** Calls one entry. */
+export class SiteClient {
+  readonly #url: string;
+  readonly #token: string;
+  readonly #agent = new Agent({ keepAlive: true, maxSockets: Infinity });
+
+  constructor(url: string, token: string) {
+    this.#url = url;
+    this.#token = token;
+  }
+
+  /** Closes kept connections. */
+  close(): void {
+    this.#agent.destroy();
+  }
+
+  /** Sends a request and reads the whole answer; throws if the connection breaks. */
+  async send(request: SiteRequest): Promise<SiteAnswer> {
+    const answer = await this.#open(request);
+    const text = String(
+      await Wreck.read(answer, { timeout: TIMEOUT_MILLISECONDS }),
+    );
+    return {
+      status: answer.statusCode ?? 0,
+      body: text === "" ? undefined : JSON.parse(text),
+    };
+  }
+
+  /** Creates a root program. */
+  async createProgram(body: object): Promise<SiteAnswer> {
+    return await this.send({ method: "POST", path: "/v1/programs", body });
+  }
+
+  /** Creates a child program. */
+  async createChild(program: string, body: object): Promise<SiteAnswer> {
+    return await this.send({
+      method: "POST",
+      path: `/v1/programs/${program}/children`,
+      body,
+    });
+  }
+
+  /** Calls a model and waits for the whole answer. */
+  async callModel(program: string, body: object): Promise<SiteAnswer> {
+    const path = `/v1/programs/${program}/chat/completions`;
+    return await this.send({ method: "POST", path, body });
+  }
+
+  /** Calls a model and reads the stream. */
+  async streamModel(program: string, body: object): Promise<StreamedAnswer> {
+    const startedAt = performance.now();
+    const answer = await this.#open({
+      method: "POST",
+      path: `/v1/programs/${program}/chat/completions`,
+      body: { ...body, stream: true },
+    });
+    const status = answer.statusCode ?? 0;
+    const reader = new StreamReader(startedAt);
+    for await (const bytes of answer) {
+      reader.push(bytes as Buffer, performance.now());
+    }
+    return reader.finish(status);
+  }
+
+  /** Calls a service. */
+  async callService(
+    program: string,
+    service: string,
+    body: object,
+  ): Promise<SiteAnswer> {
+    const path = `/v1/programs/${program}/services/${service}`;
+    return await this.send({ method: "POST", path, body });
+  }
+
+  /** Reads the history of a program. */
+  async readHistory(program: string): Promise<SiteAnswer> {
+    return await this.send({
+      method: "GET",
+      path: `/v1/programs/${program}/history`,
+    });
+  }
+
+  /** Ends a program. */
+  async endProgram(program: string): Promise<SiteAnswer> {
+    return await this.send({
+      method: "DELETE",
+      path: `/v1/programs/${program}`,
+    });
+  }
+
+  /** Writes a resource as an operator, whatever its version is now. */
+  async applyResource(
+    kind: string,
+    name: string,
+    spec: object,
+  ): Promise<SiteAnswer> {
+    const path = `/v1/resources/${kind}/${name}`;
+    const token = OPERATOR_TOKEN;
+    const known = await this.send({ method: "GET", path, token });
+    const version = known.status === 200 ? known.body.version as number : 0;
+    const orderId = `apply-${Date.now()}-${
+      Math.random().toString(36).slice(2)
+    }`;
+    const body = { order_id: orderId, version, spec };
+    return await this.send({ method: "PUT", path, token, body });
+  }
+
+  async #open(request: SiteRequest) {
+    return await Wreck.request(request.method, `${this.#url}${request.path}`, {
+      agent: this.#agent,
+      timeout: request.timeoutMilliseconds ?? TIMEOUT_MILLISECONDS,
+      headers: {
+        authorization: `Bearer ${request.token ?? this.#token}`,
+        ...request.body === undefined
+          ? {}
+          : { "content-type": "application/json" },
+      },
+      payload: request.body === undefined
+        ? undefined
+        : JSON.stringify(request.body),
+    });
+  }
+}
+
+class StreamReader {
+  readonly #startedAt: number;
+  readonly #chunkTimes: number[] = [];
+  #rest = "";
+  #text = "";
+  #body: unknown;
+  #whole = false;
+
+  constructor(startedAt: number) {
+    this.#startedAt = startedAt;
+  }
+
+  push(bytes: Buffer, now: number): void {
+    const lines = (this.#rest + String(bytes)).split("\n");
+    this.#rest = lines.pop() ?? "";
+    for (const line of lines) this.#takeLine(line, now);
+  }
+
+  finish(status: number): StreamedAnswer {
+    if (status !== 200) {
+      this.#body = JSON.parse(this.#rest === "" ? "{}" : this.#rest);
+    }
+    return {
+      status,
+      body: this.#body,
+      text: this.#text,
+      chunkTimes: this.#chunkTimes,
+      whole: this.#whole,
+    };
+  }
+
+  #takeLine(line: string, now: number): void {
+    if (!line.startsWith("data:")) return;
+    const data = line.slice(5).trim();
+    if (data === "[DONE]") {
+      this.#whole = true;
+      return;
+    }
+    const event = JSON.parse(data) as {
+      object?: string;
+      choices?: readonly { delta?: { content?: string } }[];
+    };
+    if (event.object !== "chat.completion.chunk") {
+      this.#body = event;
+      return;
+    }
+    this.#text += event.choices?.[0]?.delta?.content ?? "";
+    this.#chunkTimes.push(now - this.#startedAt);
+  }
+}
--- /dev/null
+++ b/packages/cli/src/mod.ts
@@ -0,0 +1,2 @@
+/** The mallowctl operator tool. */
+export {};
--- a/packages/configuration/src/configuration_follower.ts
+++ b/packages/configuration/src/configuration_follower.ts
@@ -80,7 +80,9 @@
     this.view.update(update);
     if (this.view.revision === before) return;
     this.#options.metrics.revision.set(this.view.revision);
-    this.#options.logger.debug("Configuration in force", { revision: this.view.revision });
+    this.#options.logger.debug("Configuration in force", {
+      revision: this.view.revision,
+    });
     this.#changed.wake();
   }
 
--- a/packages/configuration/src/configuration_state.ts
+++ b/packages/configuration/src/configuration_state.ts
@@ -84,7 +84,9 @@
    */
   findChanges(afterRevision: number): readonly ResourceChange[] | undefined {
     const oldest = this.#changes[0]?.revision ?? this.#revision + 1;
-    if (afterRevision > this.#revision || afterRevision + 1 < oldest) return undefined;
+    if (afterRevision > this.#revision || afterRevision + 1 < oldest) {
+      return undefined;
+    }
     return this.#changes.slice(afterRevision + 1 - oldest);
   }
 
@@ -92,7 +94,11 @@
   apply(command: unknown, index: number): Outcome<OrderResult> | Lease {
     const known = command as ConfigurationCommand;
     if (known.type === "order") return this.#applyOrder(known.order);
-    const lease = { upstream: known.upstream, holder: known.holder, fencingNumber: index };
+    const lease = {
+      upstream: known.upstream,
+      holder: known.holder,
+      fencingNumber: index,
+    };
     this.#leases.set(known.upstream, lease);
     return lease;
   }
@@ -111,14 +117,24 @@
 
   /** Replaces the state by a serialized one. */
   restore(snapshot: Uint8Array): void {
-    const empty = { revision: 0, resources: [], changes: [], orders: [], leases: [] };
-    const stored = snapshot.length === 0 ? empty : decode(snapshot) as StoredConfiguration;
+    const empty = {
+      revision: 0,
+      resources: [],
+      changes: [],
+      orders: [],
+      leases: [],
+    };
+    const stored = snapshot.length === 0
+      ? empty
+      : decode(snapshot) as StoredConfiguration;
     this.#revision = stored.revision;
     this.#changes = [...stored.changes];
     this.#resources = new Map();
     this.#orders = new Map();
     this.#leases = new Map();
-    for (const resource of stored.resources) this.#resources.set(formatKey(resource), resource);
+    for (const resource of stored.resources) {
+      this.#resources.set(formatKey(resource), resource);
+    }
     for (const order of stored.orders) this.#orders.set(order.orderId, order);
     for (const lease of stored.leases) this.#leases.set(lease.upstream, lease);
   }
@@ -128,11 +144,18 @@
     const kept = this.#orders.get(order.orderId);
     if (kept !== undefined) {
       if (kept.digest === digest) return Ok(kept.result);
-      return fail(RESULT_CODES.REQUEST_ID_REUSED, "The order id was used for another order");
+      return fail(
+        RESULT_CODES.REQUEST_ID_REUSED,
+        "The order id was used for another order",
+      );
     }
     const written = this.#write(order);
     if (written.err) return written;
-    this.#orders.set(order.orderId, { orderId: order.orderId, digest, result: written.val });
+    this.#orders.set(order.orderId, {
+      orderId: order.orderId,
+      digest,
+      result: written.val,
+    });
     if (this.#orders.size > KEPT_ORDERS) {
       for (const oldest of this.#orders.keys()) {
         this.#orders.delete(oldest);
@@ -147,7 +170,8 @@
     const current = this.#resources.get(key);
     const version = current?.version ?? 0;
     if (version !== order.expectedVersion) {
-      const message = `The resource has version ${version}, not ${order.expectedVersion}`;
+      const message =
+        `The resource has version ${version}, not ${order.expectedVersion}`;
       return fail(RESULT_CODES.VERSION_CONFLICT, message);
     }
     const { kind, name, spec } = order;
@@ -160,7 +184,13 @@
       this.#noteChange({ revision, kind, name });
       return Ok({ revision, version: 0 });
     }
-    const resource: Resource = { kind, name, version: version + 1, revision, spec };
+    const resource: Resource = {
+      kind,
+      name,
+      version: version + 1,
+      revision,
+      spec,
+    };
     this.#resources.set(key, resource);
     this.#noteChange({ revision, kind, name, resource });
     return Ok({ revision, version: resource.version });
@@ -172,6 +202,8 @@
   }
 }
 
-function formatKey(resource: { readonly kind: string; readonly name: string }): string {
+function formatKey(
+  resource: { readonly kind: string; readonly name: string },
+): string {
   return `${resource.kind}/${resource.name}`;
 }
--- a/packages/configuration/src/configuration_view.ts
+++ b/packages/configuration/src/configuration_view.ts
@@ -91,7 +91,10 @@
     this.#outfitsByToken = new Map();
     for (const outfit of this.list("outfit")) {
       for (const digest of outfit.spec.token_sha256) {
-        this.#outfitsByToken.set(digest, { name: outfit.name, spec: outfit.spec });
+        this.#outfitsByToken.set(digest, {
+          name: outfit.name,
+          spec: outfit.spec,
+        });
       }
     }
   }
--- a/packages/configuration/src/resource_schemas.ts
+++ b/packages/configuration/src/resource_schemas.ts
@@ -29,22 +29,29 @@
   }),
   model: Joi.object({
     version,
-    context_tokens: Joi.number().strict().integer().min(1).max(MAX_TOKENS).default(262_144),
+    context_tokens: Joi.number().strict().integer().min(1).max(MAX_TOKENS)
+      .default(262_144),
   }),
   adapter: Joi.object({ model: name.required(), version }),
   service: Joi.object({ idempotent_operations: names }),
   outfit: Joi.object({
-    token_sha256: Joi.array().items(Joi.string().hex().length(64)).min(1).max(16).required(),
+    token_sha256: Joi.array().items(Joi.string().hex().length(64)).min(1).max(
+      16,
+    ).required(),
     models: names,
     services: names,
     priorities: names,
   }),
   budget: Joi.object({
     outfit: name.required(),
-    tokens_per_program: Joi.number().strict().integer().min(1).max(MAX_TOKENS).required(),
-    turns_per_program: Joi.number().strict().integer().min(1).max(100_000).default(1_000),
+    tokens_per_program: Joi.number().strict().integer().min(1).max(MAX_TOKENS)
+      .required(),
+    turns_per_program: Joi.number().strict().integer().min(1).max(100_000)
+      .default(1_000),
+  }),
+  priority: Joi.object({
+    level: Joi.number().strict().integer().min(0).max(100).required(),
   }),
-  priority: Joi.object({ level: Joi.number().strict().integer().min(0).max(100).required() }),
 };
 
 /** Returns the kind with this name, if there is one. */
@@ -70,7 +77,10 @@
   kind: K,
   spec: unknown,
 ): Outcome<ResourceSpecs[K]> {
-  const checked = SCHEMAS[kind].required().validate(spec, { abortEarly: false, convert: false });
+  const checked = SCHEMAS[kind].required().validate(spec, {
+    abortEarly: false,
+    convert: false,
+  });
   if (checked.error === undefined) return Ok(checked.value as ResourceSpecs[K]);
   return fail(RESULT_CODES.INVALID_FIELD, checked.error.message);
 }
--- a/packages/consensus/src/replica_groups.ts
+++ b/packages/consensus/src/replica_groups.ts
@@ -46,7 +46,8 @@
 export interface ReplicaGroupsOptions {
   readonly replicaId: string;
   readonly dataFolder: string;
-  readonly address: string;
+  /** Returns the address that other replicas reach this one at. */
+  readonly getAddress: () => string;
   readonly failureDomain: string;
   readonly standby: boolean;
   readonly replicas: readonly ReplicaAddress[];
@@ -167,7 +168,8 @@
   }
 
   #describeSelf(folder: DataFolder): Member {
-    const { address, failureDomain, standby } = this.#options;
+    const { getAddress, failureDomain, standby } = this.#options;
+    const address = getAddress();
     const role = standby ? MEMBER_ROLES.STANDBY : MEMBER_ROLES.LEARNER;
     return { ...folder.identity, role, address, failureDomain };
   }
@@ -201,7 +203,7 @@
       ...definition,
       identity: folder.identity,
       folder,
-      findPeer: (member) => links.get(member.address),
+      findPeer: (member) => links.get(this.#findAddress(member)),
       timing,
       voterCount: replicas.length,
       logger: logger.forPart("consensus"),
@@ -209,6 +211,15 @@
     });
   }
 
+  /** Settings go before the address that a member had when it joined. */
+  #findAddress(member: Member): string {
+    const { replicas } = this.#options;
+    const known = replicas.find((replica) =>
+      replica.replicaId === member.replicaId
+    );
+    return known?.address ?? member.address;
+  }
+
   #describeFounding(): FoundingState {
     const folder = this.#getFolder();
     const group = this.#options.definitions[0]?.group ?? 0;
--- a/packages/core/src/result/result_codes.ts
+++ b/packages/core/src/result/result_codes.ts
@@ -167,6 +167,18 @@
     notRun: false,
     meaning: "The program ended while the call was under way.",
   }),
+  STREAM_BROKEN: defineCode(3005, "STREAM_BROKEN", {
+    httpStatus: 502,
+    notRun: false,
+    meaning:
+      "The stream could not be continued; the whole answer is in the history.",
+  }),
+  OWNER_LOST: defineCode(3006, "OWNER_LOST", {
+    httpStatus: 503,
+    notRun: false,
+    meaning:
+      "The owner was lost while it had the call. Send the same request id again.",
+  }),
   FRAME_TOO_LARGE: defineCode(4001, "FRAME_TOO_LARGE", {
     httpStatus: 500,
     notRun: true,
@@ -212,6 +224,11 @@
     notRun: false,
     meaning: "The sidecar does not know this attempt.",
   }),
+  LEADERSHIP_LOST: defineCode(4010, "LEADERSHIP_LOST", {
+    httpStatus: 503,
+    notRun: false,
+    meaning: "The replica stopped leading before the outcome was known to it.",
+  }),
   INTERNAL: defineCode(5001, "INTERNAL", {
     httpStatus: 500,
     notRun: false,
--- a/packages/core/src/supervisor/supervisor.ts
+++ b/packages/core/src/supervisor/supervisor.ts
@@ -17,6 +17,8 @@
   start(): Promise<void>;
   /** Resolves or rejects when the child ends without having been stopped. */
   readonly ended?: Promise<void>;
+  /** True if a failure of the child must end the process. */
+  readonly isFatal?: boolean;
   /** Stops the child; open work is finished first. */
   stop(): Promise<void>;
 }
@@ -94,6 +96,10 @@
     if (this.#stopping) return;
     const name = slot.child?.name ?? "";
     this.#options.logger.error("Child failed", { child: name, reason });
+    if (slot.child?.isFatal === true) {
+      this.#ended.resolve(new Error(`Child ${name} failed: ${reason}`));
+      return;
+    }
     const now = Date.now();
     const since = now - this.#options.intervalMilliseconds;
     this.#restartTimes = this.#restartTimes.filter((time) => time > since);
--- a/packages/core/src/types/internal_handlers.ts
+++ b/packages/core/src/types/internal_handlers.ts
@@ -91,6 +91,8 @@
 export interface DispatchRequest {
   readonly key: AttemptKey;
   readonly term: number;
+  /** Start of the sidecar that the intent names. */
+  readonly bootId: string;
   readonly outfit: string;
   readonly priority: number;
   /** Service that the program had so far, in generated tokens. */
@@ -196,6 +198,7 @@
   "calls.told": Signature<ToldText, Nothing>;
   "sidecars.report": Signature<SidecarReport, Nothing>;
   "attempts.dispatch": Signature<DispatchRequest, Answer>;
+  "attempts.await": Signature<RecoverRequest, Answer>;
   "attempts.attach": Signature<AttachRequest, Nothing, TextChunk>;
   "attempts.recover": Signature<RecoverRequest, AttemptState>;
   "attempts.cancel": Signature<RecoverRequest, Nothing>;
--- a/packages/core/src/types/programs.ts
+++ b/packages/core/src/types/programs.ts
@@ -16,13 +16,15 @@
   readonly outfit: string;
   readonly requestId: string;
   readonly parent?: string;
-  /** Higher runs first. */
-  readonly priority: number;
+  /** SHA-256 of what the caller asked for, to know a resent request by. */
+  readonly askedDigest: string;
+  /** Higher runs first; a child without one has its parent's. */
+  readonly priority?: number;
   /** Tokens, sent and generated, of the program and its children. */
   readonly tokenBudget: number;
   readonly turnLimit: number;
-  /** Wall clock time in milliseconds since the epoch. */
-  readonly deadlineAt: number;
+  /** The program ends this long after it was created. */
+  readonly deadlineMilliseconds: number;
   /** The program ends when it makes no call for this long. */
   readonly leaseMilliseconds: number;
 }
--- a/packages/core/src/types/sidecars.ts
+++ b/packages/core/src/types/sidecars.ts
@@ -31,7 +31,7 @@
   readonly tokens: number;
 }
 
-/** Refusals that a sidecar explains. */
+/** A sidecar as a replica knows it. */
 export interface SidecarStatus {
   readonly report: SidecarReport;
   readonly lastReportAt: number;
--- /dev/null
+++ b/packages/daemon/src/mod.ts
@@ -0,0 +1,6 @@
+/** The mallowlift daemon. */
+
+export * from "./daemon.ts";
+export * from "./health_server.ts";
+export * from "./main.ts";
+export * from "./tokens.ts";
--- /dev/null
+++ b/packages/entry/src/callers/caller_app.ts
@@ -0,0 +1,43 @@
+/** The callers' routes, in one place. */
+
+import type { Request, ResponseToolkit, ServerRoute } from "@hapi/hapi";
+import type { EntryParts } from "../entry_parts.ts";
+import {
+  callModel,
+  callService,
+  createChild,
+  createProgram,
+  endProgram,
+  readHistory,
+  readProgram,
+} from "./caller_handlers.ts";
+
+/** Lists the routes that callers use. */
+export function createCallerRoutes(parts: EntryParts): readonly ServerRoute[] {
+  const serve =
+    (handler: typeof createProgram) =>
+    (request: Request, toolkit: ResponseToolkit) =>
+      handler(parts, request, toolkit);
+  const program = "/v1/programs/{program}";
+  return [
+    { method: "POST", path: "/v1/programs", handler: serve(createProgram) },
+    { method: "GET", path: program, handler: serve(readProgram) },
+    { method: "DELETE", path: program, handler: serve(endProgram) },
+    {
+      method: "POST",
+      path: `${program}/children`,
+      handler: serve(createChild),
+    },
+    { method: "GET", path: `${program}/history`, handler: serve(readHistory) },
+    {
+      method: "POST",
+      path: `${program}/chat/completions`,
+      handler: serve(callModel),
+    },
+    {
+      method: "POST",
+      path: `${program}/services/{service}`,
+      handler: serve(callService),
+    },
+  ];
+}
--- /dev/null
+++ b/packages/entry/src/entry_parts.ts
@@ -0,0 +1,22 @@
+/** What the routes of an entry share. */
+
+import type { ConfigurationFollower } from "@mallowlift/configuration";
+import type { Logger, Metrics } from "@mallowlift/core";
+import type { PeerLinks } from "@mallowlift/transport";
+import type { OwnerDirectory } from "./owners/owner_directory.ts";
+
+/** Parts of a running entry. */
+export interface EntryParts {
+  readonly owners: OwnerDirectory;
+  readonly links: PeerLinks;
+  readonly follower: ConfigurationFollower;
+  readonly operatorTokenSha256: string;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+  /** Returns the group that owns a program. */
+  findGroup(programId: string): number;
+  /** True if the configuration was confirmed a short while ago. */
+  isFresh(): boolean;
+  /** True once this entry is leaving. */
+  isDraining(): boolean;
+}
--- /dev/null
+++ b/packages/entry/src/entry_role.ts
@@ -0,0 +1,107 @@
+/** The entry role: HTTP for callers and operators; keeps nothing. */
+
+import { performance } from "node:perf_hooks";
+import type { Server } from "@hapi/hapi";
+import { ConfigurationFollower } from "@mallowlift/configuration";
+import type { Child, Logger, Metrics, Settings } from "@mallowlift/core";
+import { parseAddress, type PeerLinks } from "@mallowlift/transport";
+import { createCallerRoutes } from "./callers/caller_app.ts";
+import { createGroupFinder } from "./callers/caller_handlers.ts";
+import type { EntryParts } from "./entry_parts.ts";
+import { createHttpServer } from "./http/create_server.ts";
+import { createOperatorRoutes } from "./operators/operator_app.ts";
+import { OwnerDirectory } from "./owners/owner_directory.ts";
+
+const HOLD_MILLISECONDS = 1_000;
+
+/** What the role needs. */
+export interface EntryRoleOptions {
+  readonly settings: Settings;
+  readonly bootId: string;
+  readonly links: PeerLinks;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+}
+
+/** An entry. */
+export class EntryRole implements Child {
+  readonly name = "entry";
+  readonly #options: EntryRoleOptions;
+  readonly #logger: Logger;
+  readonly #follower: ConfigurationFollower;
+  readonly #server: Server;
+  #draining = false;
+
+  constructor(options: EntryRoleOptions) {
+    const { settings, bootId, links, metrics } = options;
+    const { entry, network, daemon } = settings;
+    const replicas = network.replicas.map((replica) =>
+      links.get(replica.address)
+    );
+    const logger = options.logger.forPart("entry");
+    this.#options = options;
+    this.#logger = logger;
+    this.#follower = new ConfigurationFollower({
+      daemonId: daemon.name,
+      bootId,
+      replicas,
+      holdMilliseconds: HOLD_MILLISECONDS,
+      logger,
+      metrics,
+    });
+    const parts: EntryParts = {
+      owners: new OwnerDirectory(replicas, {
+        waitMilliseconds: entry.ownerWaitMilliseconds,
+        metrics,
+      }),
+      links,
+      follower: this.#follower,
+      operatorTokenSha256: entry.operatorTokenSha256,
+      logger,
+      metrics,
+      findGroup: createGroupFinder(network.programGroups),
+      isFresh: () => this.isFresh(),
+      isDraining: () => this.#draining,
+    };
+    const { host, port } = parseAddress(entry.httpListen);
+    const { maxBodyBytes } = entry;
+    this.#server = createHttpServer({
+      host,
+      port,
+      maxBodyBytes,
+      logger,
+      metrics,
+    });
+    this.#server.route([
+      ...createCallerRoutes(parts),
+      ...createOperatorRoutes(parts),
+    ]);
+  }
+
+  /** True if the configuration was confirmed a short while ago. */
+  isFresh(): boolean {
+    const limit = this.#options.settings.entry.staleMilliseconds;
+    return this.#follower.isFresh(performance.now(), limit);
+  }
+
+  /** True while new work is taken. */
+  isHealthy(): boolean {
+    return this.isFresh() && !this.#draining;
+  }
+
+  /** Starts to serve; requests are refused until the configuration is known. */
+  async start(): Promise<void> {
+    this.#follower.start();
+    await this.#server.start();
+    this.#logger.info("Started", { address: this.#server.info.uri });
+  }
+
+  /** Refuses new requests and finishes open ones. */
+  async stop(): Promise<void> {
+    this.#draining = true;
+    await this.#server.stop({
+      timeout: this.#options.settings.daemon.stopMilliseconds,
+    });
+    this.#follower.stop();
+  }
+}
--- /dev/null
+++ b/packages/entry/src/mod.ts
@@ -0,0 +1,8 @@
+/** The entry role. */
+
+export * from "./entry_role.ts";
+export * from "./owners/owner_directory.ts";
+export * from "./http/check_body.ts";
+export * from "./callers/caller_schemas.ts";
+export * from "./callers/follow_stream.ts";
+export * from "./operators/collect_status.ts";
--- /dev/null
+++ b/packages/entry/src/operators/operator_app.ts
@@ -0,0 +1,35 @@
+/** The operators' routes, in one place. */
+
+import type { Request, ResponseToolkit, ServerRoute } from "@hapi/hapi";
+import type { EntryParts } from "../entry_parts.ts";
+import {
+  deleteResource,
+  getResource,
+  listResources,
+  putResource,
+  readStatus,
+  watchResources,
+} from "./operator_handlers.ts";
+
+/** Lists the routes that operators use. */
+export function createOperatorRoutes(
+  parts: EntryParts,
+): readonly ServerRoute[] {
+  const serve =
+    (handler: typeof getResource) =>
+    (request: Request, toolkit: ResponseToolkit) =>
+      handler(parts, request, toolkit);
+  const resource = "/v1/resources/{kind}/{name}";
+  return [
+    {
+      method: "GET",
+      path: "/v1/resources/{kind}",
+      handler: serve(listResources),
+    },
+    { method: "GET", path: resource, handler: serve(getResource) },
+    { method: "PUT", path: resource, handler: serve(putResource) },
+    { method: "DELETE", path: resource, handler: serve(deleteResource) },
+    { method: "GET", path: "/v1/watch", handler: serve(watchResources) },
+    { method: "GET", path: "/v1/status", handler: serve(readStatus) },
+  ];
+}
--- /dev/null
+++ b/packages/entry/src/operators/operator_handlers.ts
@@ -0,0 +1,291 @@
+/** The work behind the operators' routes. */
+
+import { PassThrough } from "node:stream";
+import type { Request, ResponseObject, ResponseToolkit } from "@hapi/hapi";
+import {
+  checkSpec,
+  findResourceKind,
+  isResourceName,
+} from "@mallowlift/configuration";
+import {
+  type CodedError,
+  type ConfigurationUpdate,
+  countRefusal,
+  fail,
+  type Outcome,
+  type Resource,
+  type ResourceKind,
+  type ResourceOrder,
+  type ResourceSpecs,
+  RESULT_CODES,
+} from "@mallowlift/core";
+import Joi from "joi";
+import { Ok } from "ts-results";
+import type { EntryParts } from "../entry_parts.ts";
+import { answerError, answerValue, createErrorBody } from "../http/answer.ts";
+import { authenticateOperator } from "../http/authentication.ts";
+import { checkBody } from "../http/check_body.ts";
+import { collectStatus } from "./collect_status.ts";
+
+const CONFIGURATION_GROUP = 0;
+const SHORT_CALL_MILLISECONDS = 5_000;
+const WATCH_HOLD_MILLISECONDS = 5_000;
+
+/** Body that writes a resource. */
+interface PutResourceBody {
+  readonly order_id: string;
+  readonly version: number;
+  readonly spec: unknown;
+}
+
+const orderId = Joi.string().pattern(/^[A-Za-z0-9._:-]{1,128}$/);
+
+const PUT_RESOURCE_SCHEMA = Joi.object<PutResourceBody>({
+  order_id: orderId.required(),
+  version: Joi.number().integer().min(0).required(),
+  spec: Joi.object().unknown(true).required(),
+});
+
+interface ResourceName {
+  readonly kind: ResourceKind;
+  readonly name: string;
+}
+
+/** Lists the resources of a kind, from a quorum. */
+export async function listResources(
+  parts: EntryParts,
+  request: Request,
+  toolkit: ResponseToolkit,
+): Promise<ResponseObject> {
+  const kind = checkKind(parts, request);
+  if (kind.err) return refuse(parts, toolkit, kind.val);
+  const whole = await readWhole(parts);
+  if (whole.err) return answerError(toolkit, whole.val, "owner");
+  const resources = whole.val.resources.filter((resource) =>
+    resource.kind === kind.val
+  );
+  return answerValue(toolkit, { revision: whole.val.revision, resources });
+}
+
+/** Reads one resource, from a quorum. */
+export async function getResource(
+  parts: EntryParts,
+  request: Request,
+  toolkit: ResponseToolkit,
+): Promise<ResponseObject> {
+  const name = checkName(parts, request);
+  if (name.err) return refuse(parts, toolkit, name.val);
+  const whole = await readWhole(parts);
+  if (whole.err) return answerError(toolkit, whole.val, "owner");
+  const resource = whole.val.resources.find((known) =>
+    isNamed(known, name.val)
+  );
+  if (resource !== undefined) return answerValue(toolkit, resource);
+  const message = "There is no such resource";
+  return refuse(parts, toolkit, {
+    code: RESULT_CODES.RESOURCE_NOT_FOUND,
+    message,
+  });
+}
+
+/** Writes a resource. */
+export async function putResource(
+  parts: EntryParts,
+  request: Request,
+  toolkit: ResponseToolkit,
+): Promise<ResponseObject> {
+  const name = checkName(parts, request);
+  if (name.err) return refuse(parts, toolkit, name.val);
+  const body = checkBody(PUT_RESOURCE_SCHEMA, request.payload);
+  if (body.err) return refuse(parts, toolkit, body.val);
+  const spec: Outcome<ResourceSpecs[ResourceKind]> = checkSpec(
+    name.val.kind,
+    body.val.spec,
+  );
+  if (spec.err) return refuse(parts, toolkit, spec.val);
+  return await sendOrder(parts, toolkit, {
+    ...name.val,
+    orderId: body.val.order_id,
+    expectedVersion: body.val.version,
+    spec: spec.val,
+  });
+}
+
+/** Deletes a resource. */
+export async function deleteResource(
+  parts: EntryParts,
+  request: Request,
+  toolkit: ResponseToolkit,
+): Promise<ResponseObject> {
+  const name = checkName(parts, request);
+  if (name.err) return refuse(parts, toolkit, name.val);
+  const version = Number(request.query.version);
+  const order = orderId.required().validate(request.query.order_id);
+  if (
+    !Number.isSafeInteger(version) || version < 1 || order.error !== undefined
+  ) {
+    const message = "Not allowed: version and order_id are required";
+    return refuse(parts, toolkit, {
+      code: RESULT_CODES.INVALID_FIELD,
+      message,
+    });
+  }
+  return await sendOrder(parts, toolkit, {
+    ...name.val,
+    orderId: String(request.query.order_id),
+    expectedVersion: version,
+  });
+}
+
+/** Streams every change after a revision. */
+export async function watchResources(
+  parts: EntryParts,
+  request: Request,
+  toolkit: ResponseToolkit,
+): Promise<ResponseObject> {
+  const allowed = checkOperator(parts, request);
+  if (allowed.err) return refuse(parts, toolkit, allowed.val);
+  const from = Number(request.query.from_revision ?? 0);
+  if (!Number.isSafeInteger(from) || from < 0) {
+    const message = "Not allowed: from_revision must be a whole number from 0";
+    return refuse(parts, toolkit, {
+      code: RESULT_CODES.INVALID_FIELD,
+      message,
+    });
+  }
+  const first = await poll(parts, from, 0);
+  if (first.err) return answerError(toolkit, first.val, "owner");
+  if (first.val.whole) {
+    const message =
+      "Changes after this revision are no longer all kept; list and watch again";
+    return refuse(parts, toolkit, {
+      code: RESULT_CODES.REVISION_GONE,
+      message,
+    });
+  }
+  const output = new PassThrough();
+  const gone = new AbortController();
+  request.raw.res.once("close", () => gone.abort());
+  void sendChanges(parts, { first: first.val, output, signal: gone.signal });
+  return toolkit.response(output).type("text/event-stream").header(
+    "cache-control",
+    "no-cache",
+  );
+}
+
+/** Describes the whole site. */
+export async function readStatus(
+  parts: EntryParts,
+  request: Request,
+  toolkit: ResponseToolkit,
+): Promise<ResponseObject> {
+  const allowed = checkOperator(parts, request);
+  if (allowed.err) return refuse(parts, toolkit, allowed.val);
+  return answerValue(toolkit, await collectStatus(parts));
+}
+
+async function sendChanges(
+  parts: EntryParts,
+  options: {
+    readonly first: ConfigurationUpdate;
+    readonly output: PassThrough;
+    readonly signal: AbortSignal;
+  },
+): Promise<void> {
+  const { output, signal } = options;
+  let update = options.first;
+  let revision = update.revision;
+  for (;;) {
+    for (const change of update.changes) {
+      output.write(`data: ${JSON.stringify(change)}\n\n`);
+    }
+    // A comment shows the watcher that the stream is alive.
+    if (update.changes.length === 0) {
+      output.write(`: revision ${update.revision}\n\n`);
+    }
+    revision = update.revision;
+    if (signal.aborted || parts.isDraining()) break;
+    const next = await poll(parts, revision, WATCH_HOLD_MILLISECONDS);
+    if (next.err) {
+      output.write(
+        `data: ${JSON.stringify(createErrorBody(next.val, "owner"))}\n\n`,
+      );
+      break;
+    }
+    update = next.val;
+  }
+  output.end();
+}
+
+async function poll(
+  parts: EntryParts,
+  revision: number,
+  holdMilliseconds: number,
+): Promise<Outcome<ConfigurationUpdate>> {
+  return await parts.owners.call(CONFIGURATION_GROUP, {
+    name: "configuration.poll",
+    request: { daemonId: "", bootId: "", revision, holdMilliseconds },
+  }, { timeoutMilliseconds: SHORT_CALL_MILLISECONDS + holdMilliseconds });
+}
+
+async function readWhole(
+  parts: EntryParts,
+): Promise<Outcome<ConfigurationUpdate>> {
+  return await poll(parts, -1, 0);
+}
+
+async function sendOrder(
+  parts: EntryParts,
+  toolkit: ResponseToolkit,
+  order: ResourceOrder,
+): Promise<ResponseObject> {
+  const result = await parts.owners.call(CONFIGURATION_GROUP, {
+    name: "configuration.order",
+    request: order,
+  }, { timeoutMilliseconds: SHORT_CALL_MILLISECONDS });
+  if (result.err) return answerError(toolkit, result.val, "owner");
+  const { kind, name } = order;
+  return answerValue(toolkit, { kind, name, ...result.val });
+}
+
+function checkOperator(parts: EntryParts, request: Request): Outcome<void> {
+  if (parts.isDraining()) {
+    return fail(RESULT_CODES.DRAINING, "This entry is leaving", 100);
+  }
+  return authenticateOperator(request, parts.operatorTokenSha256);
+}
+
+function checkKind(parts: EntryParts, request: Request): Outcome<ResourceKind> {
+  const allowed = checkOperator(parts, request);
+  if (allowed.err) return allowed;
+  const kind = findResourceKind(String(request.params.kind));
+  if (kind !== undefined) return Ok(kind);
+  return fail(
+    RESULT_CODES.RESOURCE_NOT_FOUND,
+    "There is no such kind of resource",
+  );
+}
+
+function checkName(parts: EntryParts, request: Request): Outcome<ResourceName> {
+  const kind = checkKind(parts, request);
+  if (kind.err) return kind;
+  const name = String(request.params.name);
+  if (isResourceName(name)) return Ok({ kind: kind.val, name });
+  return fail(
+    RESULT_CODES.INVALID_FIELD,
+    "Not allowed: the name of the resource",
+  );
+}
+
+function isNamed(resource: Resource, name: ResourceName): boolean {
+  return resource.kind === name.kind && resource.name === name.name;
+}
+
+function refuse(
+  parts: EntryParts,
+  toolkit: ResponseToolkit,
+  error: CodedError,
+): ResponseObject {
+  countRefusal(parts.metrics, "entry", error.code);
+  return answerError(toolkit, error);
+}
--- /dev/null
+++ b/packages/mocks/src/engine/fake_engine.ts
@@ -0,0 +1,415 @@
+/** A model engine in small: continuous batching, prefix cache, priorities, orders. */
+
+import { PassThrough } from "node:stream";
+import {
+  type Request,
+  type ResponseObject,
+  type ResponseToolkit,
+  Server,
+  type ServerRoute,
+} from "@hapi/hapi";
+import { sleep } from "@mallowlift/core";
+import { Generation, type GenerationRequest } from "./engine_stream.ts";
+import { PrefixCache } from "./prefix_cache.ts";
+
+const PREFILL_TOKENS_PER_STEP = 512;
+const KEEP_MILLISECONDS = 10_000;
+const MAX_BODY_BYTES = 64 * 1_024 * 1_024;
+const HTTP_CONFLICT = 409;
+const HTTP_NOT_FOUND = 404;
+
+/** How a fake engine behaves. */
+export interface FakeEngineOptions {
+  readonly models: readonly string[];
+  readonly stepMilliseconds: number;
+  readonly maxBatch: number;
+  readonly cacheTokens: number;
+  readonly checksFencing: boolean;
+  /** How old the reported load is. */
+  readonly loadLagMilliseconds: number;
+  /** How late cache events come out. */
+  readonly eventLagMilliseconds: number;
+  /** Every so many cache events are left out; 0 for none. */
+  readonly eventGap: number;
+}
+
+/** Behaviour of a fake engine unless said otherwise. */
+export const DEFAULT_ENGINE: FakeEngineOptions = {
+  models: ["field-guide"],
+  stepMilliseconds: 5,
+  maxBatch: 32,
+  cacheTokens: 200_000,
+  checksFencing: true,
+  loadLagMilliseconds: 0,
+  eventLagMilliseconds: 0,
+  eventGap: 0,
+};
+
+/** Faults that a test can switch on. */
+export interface EngineFaults {
+  /** Breaks each stream off after so many events; 0 for never. */
+  breakAfterEvents: number;
+  /** Sends each event twice. */
+  duplicateEvents: boolean;
+  /** Sends one event of another stream into each stream. */
+  crossEvents: boolean;
+  /** Stops generating without closing anything. */
+  frozen: boolean;
+}
+
+interface CacheEvent {
+  readonly sequence: number;
+  readonly at: number;
+  readonly session: string;
+  readonly tokens: number;
+}
+
+interface LoadSample {
+  readonly at: number;
+  readonly running: number;
+  readonly waiting: number;
+}
+
+interface EngineOrderBody {
+  readonly action: string;
+  readonly target: string;
+  readonly fencing_number: number;
+}
+
+/** One order that the engine carried out. */
+export interface TakenOrder extends EngineOrderBody {
+  readonly at: number;
+}
+
+/** A fake engine. */
+export class FakeEngine {
+  readonly faults: EngineFaults = {
+    breakAfterEvents: 0,
+    duplicateEvents: false,
+    crossEvents: false,
+    frozen: false,
+  };
+  readonly orders: TakenOrder[] = [];
+  readonly #options: FakeEngineOptions;
+  readonly #server: Server;
+  readonly #cache: PrefixCache;
+  readonly #generations = new Map<string, Generation>();
+  readonly #events: CacheEvent[] = [];
+  readonly #loads: LoadSample[] = [];
+  readonly #models: Set<string>;
+  readonly #stopped = new AbortController();
+  #waiting: Generation[] = [];
+  #running: Generation[] = [];
+  #role = "mixed";
+  #highestFencing = 0;
+  #stepping = false;
+  #sequence = 0;
+  generations = 0;
+  promptTokens = 0;
+  cachedTokens = 0;
+
+  constructor(
+    options: Partial<FakeEngineOptions> = {},
+    listen = { host: "127.0.0.1", port: 0 },
+  ) {
+    this.#options = { ...DEFAULT_ENGINE, ...options };
+    this.#models = new Set(this.#options.models);
+    this.#cache = new PrefixCache(this.#options.cacheTokens);
+    this.#server = new Server({
+      ...listen,
+      compression: false,
+      routes: { payload: { maxBytes: MAX_BODY_BYTES } },
+    });
+    this.#server.route(this.#listRoutes());
+  }
+
+  /** HTTP address. */
+  get url(): string {
+    return this.#server.info.uri;
+  }
+
+  /** Programs that hold cache memory. */
+  get sessions(): readonly string[] {
+    return this.#cache.sessions;
+  }
+
+  /** Models that are loaded. */
+  get models(): readonly string[] {
+    return [...this.#models].sort();
+  }
+
+  /** Starts to serve. */
+  async start(): Promise<void> {
+    await this.#server.start();
+  }
+
+  /** Stops at once. */
+  async stop(): Promise<void> {
+    this.#stopped.abort();
+    await this.#server.stop({ timeout: 0 });
+  }
+
+  #listRoutes(): ServerRoute[] {
+    return [
+      {
+        method: "POST",
+        path: "/v1/chat/completions",
+        handler: (request: Request, toolkit: ResponseToolkit) =>
+          this.#generate(request, toolkit),
+      },
+      {
+        method: "GET",
+        path: "/v1/streams/{id}",
+        handler: (request: Request, toolkit: ResponseToolkit) =>
+          this.#resume(request, toolkit),
+      },
+      {
+        method: "DELETE",
+        path: "/v1/streams/{id}",
+        handler: (request: Request) => this.#cancel(String(request.params.id)),
+      },
+      {
+        method: "GET",
+        path: "/v1/load",
+        handler: () => this.#describeLoad(Date.now()),
+      },
+      {
+        method: "GET",
+        path: "/v1/cache/events",
+        handler: (request: Request) =>
+          this.#listEvents(Number(request.query.after ?? 0), Date.now()),
+      },
+      {
+        method: "GET",
+        path: "/v1/cache/sessions",
+        handler: () => ({ sessions: this.sessions }),
+      },
+      {
+        method: "DELETE",
+        path: "/v1/cache/sessions/{session}",
+        handler: (request: Request) =>
+          this.#release(String(request.params.session)),
+      },
+      {
+        method: "GET",
+        path: "/v1/state",
+        handler: () => ({ models: this.models, role: this.#role }),
+      },
+      {
+        method: "POST",
+        path: "/v1/orders",
+        handler: (request: Request, toolkit: ResponseToolkit) =>
+          this.#takeOrder(request, toolkit),
+      },
+    ];
+  }
+
+  #generate(request: Request, toolkit: ResponseToolkit): ResponseObject {
+    const body = request.payload as GenerationRequest;
+    if (!this.#models.has(body.model)) {
+      return toolkit.response({ error: "Model is not loaded" }).code(
+        HTTP_NOT_FOUND,
+      );
+    }
+    const generation = new Generation(body);
+    this.#generations.set(body.id, generation);
+    this.#waiting.push(generation);
+    this.generations++;
+    if (!this.#stepping) void this.#runSteps();
+    return this.#stream(generation, 0, toolkit);
+  }
+
+  #resume(request: Request, toolkit: ResponseToolkit): ResponseObject {
+    const generation = this.#generations.get(String(request.params.id));
+    if (generation === undefined) {
+      return toolkit.response({}).code(HTTP_NOT_FOUND);
+    }
+    return this.#stream(generation, Number(request.query.offset ?? 0), toolkit);
+  }
+
+  #cancel(id: string): object {
+    const generation = this.#generations.get(id);
+    if (generation !== undefined) generation.cancelled = true;
+    return {};
+  }
+
+  #stream(
+    generation: Generation,
+    from: number,
+    toolkit: ResponseToolkit,
+  ): ResponseObject {
+    const output = new PassThrough();
+    let offset = from;
+    let events = 0;
+    const send = (event: object) => {
+      output.write(`data: ${JSON.stringify(event)}\n\n`);
+      if (this.faults.duplicateEvents) {
+        output.write(`data: ${JSON.stringify(event)}\n\n`);
+      }
+    };
+    const grow = () => {
+      if (output.destroyed || output.writableEnded) return;
+      const text = generation.text.slice(offset);
+      if (text !== "") {
+        send({ id: generation.request.id, offset, text });
+        offset += text.length;
+        events++;
+      }
+      if (this.faults.crossEvents && events === 2) {
+        send({ id: "other", offset: 0, text: "foreign" });
+      }
+      const breaks = this.faults.breakAfterEvents;
+      if (breaks > 0 && events >= breaks) {
+        output.destroy();
+        return;
+      }
+      if (!generation.finished) return;
+      send({
+        id: generation.request.id,
+        offset,
+        text: "",
+        ...describeEnd(generation),
+      });
+      output.write("data: [DONE]\n\n");
+      output.end();
+    };
+    generation.onGrowth = grow;
+    output.on("error", () => undefined);
+    output.write(": started\n\n");
+    if (generation.text.length > offset || generation.finished) {
+      setImmediate(grow);
+    }
+    return toolkit.response(output).type("text/event-stream");
+  }
+
+  async #runSteps(): Promise<void> {
+    this.#stepping = true;
+    let next = performance.now();
+    while (!this.#stopped.signal.aborted) {
+      next += this.#options.stepMilliseconds;
+      await sleep(Math.max(0, next - performance.now()));
+      if (this.faults.frozen) continue;
+      this.#admit();
+      const now = Date.now();
+      for (const generation of this.#running) {
+        if (!generation.cancelled) generation.step(now);
+      }
+      this.#retire(now);
+      this.#sampleLoad(now);
+      if (this.#running.length === 0 && this.#waiting.length === 0) break;
+    }
+    this.#stepping = false;
+  }
+
+  #admit(): void {
+    this.#waiting = this.#waiting.filter((generation) => !generation.cancelled);
+    this.#waiting.sort((left, right) =>
+      right.request.priority - left.request.priority
+    );
+    while (this.#running.length < this.#options.maxBatch) {
+      const generation = this.#waiting.shift();
+      if (generation === undefined) return;
+      const { messages, session } = generation.request;
+      const found = this.#cache.use(messages, session);
+      generation.promptTokens = found.promptTokens;
+      generation.cachedTokens = found.cachedTokens;
+      const uncached = found.promptTokens - found.cachedTokens;
+      generation.prefillSteps = Math.floor(uncached / PREFILL_TOKENS_PER_STEP);
+      this.promptTokens += found.promptTokens;
+      this.cachedTokens += found.cachedTokens;
+      this.#running.push(generation);
+    }
+  }
+
+  #retire(now: number): void {
+    for (const generation of this.#running) {
+      if (!generation.finished) continue;
+      const { messages, session } = generation.request;
+      const answer = { role: "assistant", content: generation.answer };
+      this.#cache.use([...messages, answer], session);
+      this.#noteEvent(generation, now);
+    }
+    this.#running = this.#running.filter((known) =>
+      !known.finished && !known.cancelled
+    );
+    for (const [id, generation] of this.#generations) {
+      if (now - generation.endedAt > KEEP_MILLISECONDS) {
+        this.#generations.delete(id);
+      }
+    }
+  }
+
+  #noteEvent(generation: Generation, now: number): void {
+    this.#sequence++;
+    const { eventGap } = this.#options;
+    if (eventGap > 0 && this.#sequence % eventGap === 0) return;
+    const tokens = generation.promptTokens + generation.generated;
+    const session = generation.request.session;
+    this.#events.push({ sequence: this.#sequence, at: now, session, tokens });
+    if (this.#events.length > 1_000) this.#events.shift();
+  }
+
+  #sampleLoad(now: number): void {
+    this.#loads.push({
+      at: now,
+      running: this.#running.length,
+      waiting: this.#waiting.length,
+    });
+    const oldest = now - this.#options.loadLagMilliseconds - 100;
+    while (
+      (this.#loads[0]?.at ?? Infinity) < oldest && this.#loads.length > 1
+    ) this.#loads.shift();
+  }
+
+  #describeLoad(now: number): object {
+    const until = now - this.#options.loadLagMilliseconds;
+    const sample = this.#loads.findLast((known) => known.at <= until);
+    return {
+      models: this.models,
+      step_milliseconds: this.#options.stepMilliseconds,
+      running: sample?.running ?? 0,
+      waiting: sample?.waiting ?? 0,
+    };
+  }
+
+  #listEvents(after: number, now: number): object {
+    const until = now - this.#options.eventLagMilliseconds;
+    const events = this.#events.filter((event) =>
+      event.sequence > after && event.at <= until
+    );
+    return { events };
+  }
+
+  #release(session: string): object {
+    this.#cache.release(session);
+    return {};
+  }
+
+  #takeOrder(request: Request, toolkit: ResponseToolkit): ResponseObject {
+    const order = request.payload as EngineOrderBody;
+    if (
+      this.#options.checksFencing && order.fencing_number < this.#highestFencing
+    ) {
+      return toolkit.response({ error: "Fencing number is old" }).code(
+        HTTP_CONFLICT,
+      );
+    }
+    this.#highestFencing = Math.max(this.#highestFencing, order.fencing_number);
+    this.orders.push({ ...order, at: Date.now() });
+    if (order.action === "load") this.#models.add(order.target);
+    if (order.action === "unload") this.#models.delete(order.target);
+    if (order.action === "set_role") this.#role = order.target;
+    return toolkit.response({ models: this.models, role: this.#role });
+  }
+}
+
+function describeEnd(generation: Generation): object {
+  return {
+    finish: "length",
+    usage: {
+      promptTokens: generation.promptTokens,
+      cachedTokens: generation.cachedTokens,
+      completionTokens: generation.generated,
+    },
+  };
+}
--- /dev/null
+++ b/packages/mocks/src/mod.ts
@@ -0,0 +1,7 @@
+/** Stand-ins for what is outside, and a proxy that injects faults. */
+
+export * from "./engine/engine_stream.ts";
+export * from "./engine/fake_engine.ts";
+export * from "./engine/prefix_cache.ts";
+export * from "./proxy/fault_proxy.ts";
+export * from "./service/fake_service.ts";
--- a/packages/programs/src/budget.ts
+++ b/packages/programs/src/budget.ts
@@ -51,7 +51,10 @@
   }
 }
 
-function listPayers(program: ProgramRecord, find: FindProgram): readonly ProgramRecord[] {
+function listPayers(
+  program: ProgramRecord,
+  find: FindProgram,
+): readonly ProgramRecord[] {
   const payers = [program];
   let parent = program.spec.parent;
   while (parent !== undefined) {
--- a/packages/programs/src/call_commands.ts
+++ b/packages/programs/src/call_commands.ts
@@ -10,9 +10,24 @@
   serializeStable,
 } from "@mallowlift/core";
 import { Ok } from "ts-results";
-import { canReserve, type FindProgram, measureReservation, measureTaken, moveTokens } from "./budget.ts";
-import type { AcceptCall, DispatchCall, EndCall, WithdrawCall } from "./commands.ts";
-import { CALL_STATES, type CallRecord, type ProgramRecord } from "./program_records.ts";
+import {
+  canReserve,
+  type FindProgram,
+  measureReservation,
+  measureTaken,
+  moveTokens,
+} from "./budget.ts";
+import type {
+  AcceptCall,
+  DispatchCall,
+  EndCall,
+  WithdrawCall,
+} from "./commands.ts";
+import {
+  CALL_STATES,
+  type CallRecord,
+  type ProgramRecord,
+} from "./program_records.ts";
 
 interface FoundCall {
   readonly program: ProgramRecord;
@@ -20,7 +35,10 @@
 }
 
 /** Accepts a call; a known request id with the same body returns the known call. */
-export function acceptCall(command: AcceptCall, find: FindProgram): Outcome<CallRecord> {
+export function acceptCall(
+  command: AcceptCall,
+  find: FindProgram,
+): Outcome<CallRecord> {
   const program = find(command.programId);
   if (program === undefined || program.spec.outfit !== command.outfit) {
     return fail(RESULT_CODES.PROGRAM_NOT_FOUND, "There is no such program");
@@ -29,13 +47,19 @@
   const known = program.calls.get(command.requestId);
   if (known !== undefined) {
     if (known.bodyDigest === bodyDigest) return Ok(known);
-    return fail(RESULT_CODES.REQUEST_ID_REUSED, "The request id was used for another call");
+    return fail(
+      RESULT_CODES.REQUEST_ID_REUSED,
+      "The request id was used for another call",
+    );
   }
   const allowed = checkLimits(program, command);
   if (allowed.err) return allowed;
   const reservation = measureReservation(command.body);
   if (!canReserve(program, reservation, find)) {
-    return fail(RESULT_CODES.BUDGET_EXCEEDED, "The call could exceed the token budget");
+    return fail(
+      RESULT_CODES.BUDGET_EXCEEDED,
+      "The call could exceed the token budget",
+    );
   }
   moveTokens(program, { reserved: reservation, used: 0 }, find);
   const call: CallRecord = {
@@ -59,12 +83,18 @@
 }
 
 /** Starts the next attempt of the first open call of a program. */
-export function dispatchCall(command: DispatchCall, find: FindProgram): Outcome<CallRecord> {
+export function dispatchCall(
+  command: DispatchCall,
+  find: FindProgram,
+): Outcome<CallRecord> {
   const found = findOpenCall(command, find);
   if (found.err) return found;
   const { program, call } = found.val;
   if (program.openCalls[0] !== call.requestId) {
-    return fail(RESULT_CODES.INTERNAL, "An earlier call of the program is open");
+    return fail(
+      RESULT_CODES.INTERNAL,
+      "An earlier call of the program is open",
+    );
   }
   if (command.attempt !== call.attempt + 1) {
     return fail(RESULT_CODES.INTERNAL, "The attempt is out of order");
@@ -74,20 +104,29 @@
   }
   const mayRepeat = call.body !== undefined && isIdempotent(call.body);
   if (call.attempt > 0 && !mayRepeat && !command.previousNeverRan) {
-    return fail(RESULT_CODES.OUTCOME_UNKNOWN, "The call may have run and may not repeat");
+    return fail(
+      RESULT_CODES.OUTCOME_UNKNOWN,
+      "The call may have run and may not repeat",
+    );
   }
   startAttempt(call, command.target);
   return Ok(call);
 }
 
 /** Records the end of a call as the next turn of the history. */
-export function endCall(command: EndCall, find: FindProgram): Outcome<CallRecord> {
+export function endCall(
+  command: EndCall,
+  find: FindProgram,
+): Outcome<CallRecord> {
   const found = findOpenCall(command, find);
   if (found.err) return found;
   const { program, call } = found.val;
   const body = call.body;
   if (command.attempt !== call.attempt || body === undefined) {
-    return fail(RESULT_CODES.INTERNAL, "The answer belongs to an earlier attempt");
+    return fail(
+      RESULT_CODES.INTERNAL,
+      "The answer belongs to an earlier attempt",
+    );
   }
   const used = measureTaken(body, command.end.answer.usage);
   moveTokens(program, { reserved: -call.reservation, used }, find);
@@ -104,7 +143,10 @@
 }
 
 /** Takes back a call that never ran. */
-export function withdrawCall(command: WithdrawCall, find: FindProgram): Outcome<CallRecord> {
+export function withdrawCall(
+  command: WithdrawCall,
+  find: FindProgram,
+): Outcome<CallRecord> {
   const found = findOpenCall(command, find);
   if (found.err) return found;
   const { program, call } = found.val;
@@ -117,15 +159,24 @@
   return Ok(call);
 }
 
-function checkLimits(program: ProgramRecord, command: AcceptCall): Outcome<void> {
+function checkLimits(
+  program: ProgramRecord,
+  command: AcceptCall,
+): Outcome<void> {
   if (program.ended !== undefined) {
     return fail(RESULT_CODES.PROGRAM_ENDED, "The program has ended");
   }
-  if (command.now >= program.spec.deadlineAt) {
-    return fail(RESULT_CODES.DEADLINE_PASSED, "The deadline of the program has passed");
+  if (command.now >= program.deadlineAt) {
+    return fail(
+      RESULT_CODES.DEADLINE_PASSED,
+      "The deadline of the program has passed",
+    );
   }
   if (program.openCalls.length >= command.openLimit) {
-    return fail(RESULT_CODES.TOO_MANY_CALLS, "Too many calls of the program wait");
+    return fail(
+      RESULT_CODES.TOO_MANY_CALLS,
+      "Too many calls of the program wait",
+    );
   }
   const turns = program.history.length + program.openCalls.length;
   if (turns >= program.spec.turnLimit) {
@@ -146,13 +197,20 @@
 ): Outcome<FoundCall> {
   const program = find(key.programId);
   const call = program?.calls.get(key.requestId);
-  if (program === undefined || call === undefined || call.state === CALL_STATES.ENDED) {
+  if (
+    program === undefined || call === undefined ||
+    call.state === CALL_STATES.ENDED
+  ) {
     return fail(RESULT_CODES.INTERNAL, "The call is not open");
   }
   return Ok({ program, call });
 }
 
-function closeCall(program: ProgramRecord, call: CallRecord, now: number): void {
+function closeCall(
+  program: ProgramRecord,
+  call: CallRecord,
+  now: number,
+): void {
   const position = program.openCalls.indexOf(call.requestId);
   if (position >= 0) program.openCalls.splice(position, 1);
   program.lastActivityAt = now;
--- a/packages/programs/src/program_commands.ts
+++ b/packages/programs/src/program_commands.ts
@@ -7,13 +7,14 @@
   fail,
   type Outcome,
   RESULT_CODES,
-  serializeStable,
 } from "@mallowlift/core";
 import { Ok } from "ts-results";
 import type { FindProgram } from "./budget.ts";
 import type { CreateProgram, EndProgram } from "./commands.ts";
 import { CALL_STATES, type ProgramRecord } from "./program_records.ts";
 
+const DEFAULT_PRIORITY = 10;
+
 /** Creates a program; the same spec again returns the known program. */
 export function createProgram(
   command: CreateProgram,
@@ -22,13 +23,19 @@
   const known = find(command.programId);
   if (known !== undefined) {
     if (isSameSpec(known, command)) return Ok(known);
-    return fail(RESULT_CODES.REQUEST_ID_REUSED, "The request id was used for another program");
+    return fail(
+      RESULT_CODES.REQUEST_ID_REUSED,
+      "The request id was used for another program",
+    );
   }
   const attached = attachToParent(command, find);
   if (attached.err) return attached;
   return Ok({
     programId: command.programId,
     spec: command.spec,
+    priority: command.spec.priority ?? attached.val?.priority ??
+      DEFAULT_PRIORITY,
+    deadlineAt: command.now + command.spec.deadlineMilliseconds,
     tokensUsed: 0,
     tokensReserved: 0,
     digest: EMPTY_HISTORY_DIGEST,
@@ -43,7 +50,10 @@
 }
 
 /** Ends a program and its children. Calls that wait are taken back. */
-export function endProgram(command: EndProgram, find: FindProgram): Outcome<ProgramRecord> {
+export function endProgram(
+  command: EndProgram,
+  find: FindProgram,
+): Outcome<ProgramRecord> {
   const program = find(command.programId);
   if (program === undefined) {
     return fail(RESULT_CODES.PROGRAM_NOT_FOUND, "There is no such program");
@@ -53,7 +63,10 @@
 }
 
 /** Returns true if a program and everything below it has ended. */
-export function hasTreeEnded(program: ProgramRecord, find: FindProgram): boolean {
+export function hasTreeEnded(
+  program: ProgramRecord,
+  find: FindProgram,
+): boolean {
   if (program.ended === undefined || program.openCalls.length > 0) return false;
   for (const childId of program.children) {
     const child = find(childId);
@@ -63,10 +76,15 @@
 }
 
 function isSameSpec(known: ProgramRecord, command: CreateProgram): boolean {
-  return serializeStable(known.spec) === serializeStable(command.spec);
+  return known.spec.askedDigest === command.spec.askedDigest &&
+    known.spec.parent === command.spec.parent;
 }
 
-function attachToParent(command: CreateProgram, find: FindProgram): Outcome<void> {
+/** Returns the parent, or undefined for a root program. */
+function attachToParent(
+  command: CreateProgram,
+  find: FindProgram,
+): Outcome<ProgramRecord | undefined> {
   const parentId = command.spec.parent;
   if (parentId === undefined) return Ok(undefined);
   const parent = find(parentId);
@@ -78,7 +96,7 @@
   }
   parent.children.push(command.programId);
   parent.lastActivityAt = command.now;
-  return Ok(undefined);
+  return Ok(parent);
 }
 
 interface EndOptions {
@@ -103,7 +121,9 @@
 /** Returns true if a call of the program may be running. */
 export function hasDispatchedCall(program: ProgramRecord): boolean {
   for (const requestId of program.openCalls) {
-    if (program.calls.get(requestId)?.state === CALL_STATES.DISPATCHED) return true;
+    if (program.calls.get(requestId)?.state === CALL_STATES.DISPATCHED) {
+      return true;
+    }
   }
   return false;
 }
--- a/packages/programs/src/program_records.ts
+++ b/packages/programs/src/program_records.ts
@@ -50,6 +50,9 @@
 export interface ProgramRecord {
   readonly programId: string;
   readonly spec: ProgramSpec;
+  readonly priority: number;
+  /** Wall clock time in milliseconds since the epoch. */
+  readonly deadlineAt: number;
   tokensUsed: number;
   tokensReserved: number;
   digest: string;
@@ -74,13 +77,13 @@
   return {
     programId: program.programId,
     parent: program.spec.parent,
-    priority: program.spec.priority,
+    priority: program.priority,
     tokenBudget: program.spec.tokenBudget,
     tokensUsed: program.tokensUsed,
     tokensReserved: program.tokensReserved,
     turnLimit: program.spec.turnLimit,
     turns: program.history.length,
-    deadlineAt: program.spec.deadlineAt,
+    deadlineAt: program.deadlineAt,
     ended: program.ended,
     digest: program.digest,
   };
--- a/packages/programs/src/program_state.ts
+++ b/packages/programs/src/program_state.ts
@@ -3,7 +3,12 @@
 import { decode, encode } from "cbor-x";
 import { fail, type Outcome, RESULT_CODES } from "@mallowlift/core";
 import { Ok } from "ts-results";
-import { acceptCall, dispatchCall, endCall, withdrawCall } from "./call_commands.ts";
+import {
+  acceptCall,
+  dispatchCall,
+  endCall,
+  withdrawCall,
+} from "./call_commands.ts";
 import type { ForgetProgram, ProgramCommand } from "./commands.ts";
 import { createProgram, endProgram, hasTreeEnded } from "./program_commands.ts";
 import type { CallRecord, ProgramRecord } from "./program_records.ts";
@@ -75,7 +80,10 @@
   #forget(command: ForgetProgram): Outcome<ProgramRecord> {
     const program = this.#programs.get(command.programId);
     if (program === undefined || !hasTreeEnded(program, this.#find)) {
-      return fail(RESULT_CODES.PROGRAM_NOT_FOUND, "There is no ended program with this id");
+      return fail(
+        RESULT_CODES.PROGRAM_NOT_FOUND,
+        "There is no ended program with this id",
+      );
     }
     this.#removeTree(program);
     return Ok(program);
--- /dev/null
+++ b/packages/replica/src/replica_role.ts
@@ -0,0 +1,163 @@
+/** The replica role: keeps the replicated state and owns what it leads. */
+
+import { performance } from "node:perf_hooks";
+import { ConfigurationState } from "@mallowlift/configuration";
+import { type GroupDefinition, ReplicaGroups } from "@mallowlift/consensus";
+import type {
+  Child,
+  Logger,
+  Metrics,
+  ReplicaStatus,
+  Settings,
+} from "@mallowlift/core";
+import { ProgramState } from "@mallowlift/programs";
+import { createPlacementPolicy } from "@mallowlift/scheduling";
+import type { HandlerTable, PeerLinks } from "@mallowlift/transport";
+import { ConfigurationOwner } from "./configuration/configuration_owner.ts";
+import { ProgramOwner } from "./programs/program_owner.ts";
+import { createReplicaHandlers } from "./replica_app.ts";
+import { Placement } from "./sidecars/placement.ts";
+import { SidecarDirectory } from "./sidecars/sidecar_directory.ts";
+
+const CONFIGURATION_GROUP = 0;
+
+/** What the role needs. */
+export interface ReplicaRoleOptions {
+  readonly settings: Settings;
+  /** Returns the address that other daemons reach this one at. */
+  readonly getAddress: () => string;
+  readonly links: PeerLinks;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+}
+
+/** A replica. */
+export class ReplicaRole implements Child {
+  readonly name = "replica";
+  /** After a failed write nobody knows what is on the disk. */
+  readonly isFatal = true;
+  readonly #options: ReplicaRoleOptions;
+  readonly #directory: SidecarDirectory;
+  readonly #state = new ConfigurationState();
+  readonly #configuration: ConfigurationOwner;
+  readonly #owners: ProgramOwner[] = [];
+  readonly #definitions: GroupDefinition[] = [];
+  #groups: ReplicaGroups | undefined;
+
+  constructor(options: ReplicaRoleOptions) {
+    const { settings, links, metrics } = options;
+    const { replica, network } = settings;
+    this.#options = options;
+    this.#directory = new SidecarDirectory(links, replica.reportMilliseconds);
+    this.#configuration = new ConfigurationOwner({
+      state: this.#state,
+      getGroup: () => this.#groups?.get(CONFIGURATION_GROUP),
+    });
+    this.#definitions.push({
+      group: CONFIGURATION_GROUP,
+      stateMachine: this.#state,
+      listener: this.#configuration,
+    });
+    const placement = new Placement(
+      this.#directory,
+      createPlacementPolicy(replica),
+    );
+    for (let group = 1; group <= network.programGroups; group++) {
+      const state = new ProgramState();
+      const owner = new ProgramOwner({
+        group,
+        state,
+        getGroup: () => this.#groups?.get(group),
+        placement,
+        directory: this.#directory,
+        limits: replica,
+        logger: options.logger.forPart("owner"),
+        metrics,
+      });
+      this.#owners.push(owner);
+      this.#definitions.push({ group, stateMachine: state, listener: owner });
+    }
+  }
+
+  /** Handlers for all other daemons. */
+  createHandlers(): HandlerTable {
+    const groups = this.#createGroups();
+    this.#groups = groups;
+    return {
+      ...groups.createHandlers(),
+      ...createReplicaHandlers({
+        configuration: this.#configuration,
+        owners: this.#owners,
+        directory: this.#directory,
+        describe: () => this.#describe(groups),
+      }),
+    };
+  }
+
+  /** Rejects when the disk is no longer usable. */
+  get ended(): Promise<void> {
+    const groups = this.#groups;
+    if (groups === undefined) return Promise.resolve();
+    return groups.failed.then((error) => {
+      throw error;
+    });
+  }
+
+  /** True if every group counts this replica and follows a leader. */
+  isHealthy(): boolean {
+    return this.#groups?.isHealthy(performance.now()) ?? false;
+  }
+
+  /** Opens the data folder; the groups start as soon as the site is founded. */
+  async start(): Promise<void> {
+    const groups = this.#groups;
+    if (groups === undefined) throw new Error("The handlers were not created");
+    await groups.open();
+    void groups.start();
+  }
+
+  /** Hands over all leaderships, then stops. */
+  async stop(): Promise<void> {
+    await this.#groups?.stop();
+  }
+
+  #createGroups(): ReplicaGroups {
+    const { settings, links, logger, metrics, getAddress } = this.#options;
+    const { replica, network, daemon } = settings;
+    return new ReplicaGroups({
+      replicaId: replica.id,
+      dataFolder: replica.dataFolder,
+      getAddress,
+      failureDomain: daemon.failureDomain,
+      standby: replica.standby === "yes",
+      replicas: network.replicas,
+      definitions: this.#definitions,
+      links,
+      timing: replica,
+      logger: logger.forPart("consensus"),
+      metrics,
+    });
+  }
+
+  #describe(groups: ReplicaGroups): ReplicaStatus {
+    const now = performance.now();
+    const { replica, daemon } = this.#options.settings;
+    let openCalls = 0;
+    let programs = 0;
+    for (const owner of this.#owners) {
+      openCalls += owner.openCalls;
+      programs += owner.programCount;
+    }
+    return {
+      replicaId: replica.id,
+      incarnation: groups.incarnation,
+      failureDomain: daemon.failureDomain,
+      groups: groups.describe(now),
+      sidecars: this.#directory.describe(Date.now()),
+      followers: this.#configuration.describeFollowers(now),
+      revision: this.#state.revision,
+      openCalls,
+      programs,
+    };
+  }
+}
--- /dev/null
+++ b/packages/sidecar/src/mod.ts
@@ -0,0 +1,16 @@
+/** The sidecar role. */
+
+export * from "./attempts/admission.ts";
+export * from "./attempts/attempt.ts";
+export * from "./attempts/attempt_table.ts";
+export * from "./attempts/fence.ts";
+export * from "./orders/engine_orders.ts";
+export * from "./orders/order_keeper.ts";
+export * from "./orders/plan_orders.ts";
+export * from "./reports/session_keeper.ts";
+export * from "./sidecar_role.ts";
+export * from "./upstream/engine_client.ts";
+export * from "./upstream/engine_stream.ts";
+export * from "./upstream/event_lines.ts";
+export * from "./upstream/service_client.ts";
+export * from "./upstream/upstream_client.ts";
