--- /dev/null
+++ b/packages/bench/src/measure/process_usage.ts
@@ -0,0 +1,29 @@
+/** Processor time and memory of a process, from /proc. */
+
+import { readFileSync } from "node:fs";
+
+const TICKS_PER_SECOND = 100;
+const KIBIBYTES_PER_MEBIBYTE = 1_024;
+
+/** What a process has used so far. */
+export interface ProcessUsage {
+  readonly processorSeconds: number;
+  readonly residentMebibytes: number;
+}
+
+/** Reads the usage of a process; undefined if it has ended. */
+export function readUsage(pid: number): ProcessUsage | undefined {
+  try {
+    const stat = readFileSync(`/proc/${pid}/stat`, "utf8");
+    const fields = stat.slice(stat.lastIndexOf(")") + 2).split(" ");
+    const ticks = Number(fields[11]) + Number(fields[12]);
+    const status = readFileSync(`/proc/${pid}/status`, "utf8");
+    const resident = /VmRSS:\s+(\d+)/.exec(status)?.[1] ?? "0";
+    return {
+      processorSeconds: ticks / TICKS_PER_SECOND,
+      residentMebibytes: Number(resident) / KIBIBYTES_PER_MEBIBYTE,
+    };
+  } catch {
+    return undefined;
+  }
+}
