Add property tests and integration tests with real processes

Cause: nothing was proved yet. Change: fast-check tests of frames, records, logs, membership, budgets, orders, fences, streams and policies; processes killed, frozen, drained and cut off.

--- /dev/null
+++ b/packages/bench/src/integration/failures_test.ts
@@ -0,0 +1,166 @@
+import { composeAnswer } from "@mallowlift/mocks";
+import { sleep } from "@mallowlift/core";
+import { test } from "tap";
+import { SITE_SERVICE } from "../site/seed_resources.ts";
+import {
+  askModel,
+  createProgram,
+  listOwners,
+  startTestSite,
+  waitFor,
+  writeStake,
+  writeUntilTaken,
+} from "./test_site.ts";
+
+const SLOW_ENGINE = { stepMilliseconds: 20 };
+const OUTLASTS_TIMEOUTS_MILLISECONDS = 4_000;
+
+test("failures while calls run", async (t) => {
+  const running = await startTestSite(t.testdir(), { engine: SLOW_ENGINE });
+  t.teardown(() => running.stop());
+  const { client, site, engines, services } = running;
+  const service = services[0];
+  if (service === undefined) throw new Error("There is no service");
+
+  await t.test("owners killed in the middle of a stream: the answer is whole", async (t) => {
+    const program = await createProgram(client, "owner-killed");
+    const body = askModel("s", 80);
+    const streamed = client.streamModel(program, body);
+    await sleep(300);
+    const [owner = "replica-1"] = await listOwners(client);
+    await site.get(owner).process.kill();
+    const answer = await streamed;
+    t.equal(answer.text, composeAnswer(body.messages, 80));
+    t.ok(answer.whole);
+    site.get(owner).process.start();
+    await site.waitUntilHealthy();
+  });
+
+  await t.test("a sidecar killed in the middle of a stream: the answer goes on elsewhere", async (t) => {
+    const program = await createProgram(client, "sidecar-killed");
+    const body = askModel("s", 80);
+    const streamed = client.streamModel(program, body);
+    await waitFor(
+      "an engine runs it",
+      () => engines.some((engine) => engine.isRunning(program)),
+    );
+    await sleep(200);
+    const number = engines.findIndex((engine) => engine.isRunning(program)) + 1;
+    await site.get(`engine-${number}`).process.kill();
+    const answer = await streamed;
+    t.equal(answer.text, composeAnswer(body.messages, 80));
+    t.ok(answer.whole);
+    site.get(`engine-${number}`).process.start();
+    await site.waitUntilHealthy();
+  });
+
+  await t.test("a sidecar killed while a stake is written: unknown, recorded, never repeated", async (t) => {
+    const program = await createProgram(client, "write-killed");
+    service.faults.delayMilliseconds = 1_500;
+    const writing = client.callService(program, SITE_SERVICE, writeStake("w"));
+    await waitFor("it runs", () => service.countRuns(`${program}/w`) === 1);
+    await site.get("stakes-1").process.kill();
+    site.get("stakes-1").process.start();
+    const answer = await writing;
+    t.equal(answer.body.error.name, "OUTCOME_UNKNOWN");
+    t.equal(answer.body.error.not_run, false);
+    service.faults.delayMilliseconds = 2;
+    await site.waitUntilHealthy();
+    const again = await client.callService(
+      program,
+      SITE_SERVICE,
+      writeStake("w"),
+    );
+    t.equal(again.body.error.name, "OUTCOME_UNKNOWN");
+    t.equal(service.countRuns(`${program}/w`), 1);
+    const history = await client.readHistory(program);
+    t.equal(history.body.turns[0].code, "OUTCOME_UNKNOWN");
+  });
+
+  await t.test("owners killed while a stake is written: the next owner finds the answer", async (t) => {
+    const program = await createProgram(client, "write-owner");
+    service.faults.delayMilliseconds = 1_000;
+    const writing = client.callService(program, SITE_SERVICE, writeStake("w"));
+    await sleep(100);
+    const [owner = "replica-1"] = await listOwners(client);
+    await site.get(owner).process.kill();
+    const answer = await writing;
+    service.faults.delayMilliseconds = 2;
+    t.equal(answer.status, 200);
+    t.equal(service.countRuns(`${program}/w`), 1);
+    site.get(owner).process.start();
+    await site.waitUntilHealthy();
+  });
+
+  await t.test("a frozen owner wakes after others have served: nothing of it takes effect", async (t) => {
+    const program = await createProgram(client, "frozen");
+    const [owner = "replica-1"] = await listOwners(client);
+    site.get(owner).process.signal("SIGSTOP");
+    const writes = ["a", "b", "c"].map((id) =>
+      writeUntilTaken(client, program, id)
+    );
+    const answers = await Promise.all(writes);
+    t.same(answers.map((answer) => answer.status), [200, 200, 200]);
+    await sleep(OUTLASTS_TIMEOUTS_MILLISECONDS);
+    site.get(owner).process.signal("SIGCONT");
+    await site.waitUntilHealthy();
+    for (const id of ["a", "b", "c"]) {
+      t.equal(service.countRuns(`${program}/${id}`), 1);
+    }
+    const history = await client.readHistory(program);
+    t.equal(history.body.turns.length, 3);
+  });
+
+  await t.test("an entry killed during a call: the same id at another entry gets the answer", async (t) => {
+    const program = await createProgram(client, "entry-killed");
+    service.faults.delayMilliseconds = 600;
+    const writing = client.callService(program, SITE_SERVICE, writeStake("w"));
+    await waitFor("it runs", () => service.countRuns(`${program}/w`) === 1);
+    await site.get("entry-1").process.kill();
+    await t.rejects(writing);
+    const other = running.clients[1];
+    const answer = await other?.callService(
+      program,
+      SITE_SERVICE,
+      writeStake("w"),
+    );
+    service.faults.delayMilliseconds = 2;
+    t.equal(answer?.status, 200);
+    t.equal(service.countRuns(`${program}/w`), 1);
+    site.get("entry-1").process.start();
+    await site.waitUntilHealthy();
+  });
+
+  await t.test("the service runs it but its answer is lost: unknown, once", async (t) => {
+    const program = await createProgram(client, "answer-lost");
+    service.faults.dropAnswers = true;
+    const answer = await client.callService(
+      program,
+      SITE_SERVICE,
+      writeStake("w"),
+    );
+    service.faults.dropAnswers = false;
+    t.equal(answer.body.error.name, "OUTCOME_UNKNOWN");
+    t.equal(service.countRuns(`${program}/w`), 1);
+  });
+
+  await t.test("all replicas killed and started again: history and answers are kept", async (t) => {
+    const program = await createProgram(client, "all-killed");
+    const first = await client.callService(
+      program,
+      SITE_SERVICE,
+      writeStake("w"),
+    );
+    const names = ["replica-1", "replica-2", "replica-3"];
+    await Promise.all(names.map((name) => site.get(name).process.kill()));
+    for (const name of names) site.get(name).process.start();
+    await site.waitUntilHealthy();
+    const again = await client.callService(
+      program,
+      SITE_SERVICE,
+      writeStake("w"),
+    );
+    t.same(again.body, first.body);
+    t.equal(service.countRuns(`${program}/w`), 1);
+  });
+});
--- /dev/null
+++ b/packages/bench/src/integration/leaving_test.ts
@@ -0,0 +1,97 @@
+import { composeAnswer } from "@mallowlift/mocks";
+import { sleep } from "@mallowlift/core";
+import { test } from "tap";
+import { OPERATOR_TOKEN } from "../site/site_plan.ts";
+import {
+  askModel,
+  createProgram,
+  startTestSite,
+  waitFor,
+} from "./test_site.ts";
+
+const SLOW_ENGINE = { stepMilliseconds: 20 };
+
+test("leaving and cut off", async (t) => {
+  const plan = { proxied: true };
+  const running = await startTestSite(t.testdir(), {
+    engine: SLOW_ENGINE,
+    plan,
+  });
+  t.teardown(() => running.stop());
+  const { client, clients, site, engines } = running;
+
+  await t.test("a drained upstream finishes what it has and gets nothing new", async (t) => {
+    const spec = { type: "model", models: ["field-guide"] };
+    const program = await createProgram(client, "drain");
+    const body = askModel("long", 100);
+    const streamed = client.streamModel(program, body);
+    await waitFor(
+      "an engine runs it",
+      () => engines.some((engine) => engine.isRunning(program)),
+    );
+    const position = engines.findIndex((engine) => engine.isRunning(program));
+    const name = `engine-${position + 1}`;
+    await client.applyResource("upstream", name, { ...spec, drain: true });
+    await waitFor(
+      "the sidecar drains",
+      async () => !await site.isHealthy(name),
+    );
+    const before = engines[position]?.generations ?? 0;
+    for (let number = 0; number < 6; number++) {
+      const other = await createProgram(client, `after-drain-${number}`);
+      t.equal((await client.callModel(other, askModel("x", 2))).status, 200);
+    }
+    t.equal(engines[position]?.generations, before);
+    const answer = await streamed;
+    t.equal(answer.text, composeAnswer(body.messages, 100));
+    await client.applyResource("upstream", name, spec);
+    await site.waitUntilHealthy();
+  });
+
+  for (
+    const role of ["entry-2", "engine-1", "replica-1", "replica-2", "replica-3"]
+  ) {
+    await t.test(`a planned stop of ${role} under load cuts off no request`, async (t) => {
+      const loads = Array.from({ length: 6 }, async (_, number) => {
+        const user = clients[number % 2] ?? client;
+        const program = await createProgram(user, `stop-${role}-${number}`);
+        const body = askModel("long", 60);
+        const answer = await user.streamModel(program, body);
+        return answer.whole && answer.text === composeAnswer(body.messages, 60);
+      });
+      await sleep(300);
+      const code = await site.get(role).process.stop();
+      t.equal(code, 0);
+      t.ok((await Promise.all(loads)).every((isWhole) => isWhole));
+      site.get(role).process.start();
+      await site.waitUntilHealthy();
+    });
+  }
+
+  await t.test("an entry cut off refuses within seconds and never goes back", async (t) => {
+    const program = await createProgram(client, "cut-off");
+    const links = site.proxies.filter((known) => known.source === "entry-1");
+    for (const { proxy } of links) proxy.cut();
+    const other = clients[1];
+    const change = other?.applyResource("priority", "office", { level: 7 });
+    await waitFor("the entry refuses", async () => {
+      const refused = await client.callModel(program, askModel("x", 1));
+      return refused.body?.error?.name === "CONFIGURATION_STALE";
+    });
+    const refused = await client.callModel(program, askModel("x", 1));
+    t.equal(refused.body.error.not_run, true);
+    t.ok(refused.body.error.retry_after_ms > 0);
+    t.notOk(await site.isHealthy("entry-1"));
+    const changed = await change;
+    t.equal(changed?.status, 200);
+    for (const { proxy } of links) proxy.heal();
+    await site.waitUntilHealthy();
+    const read = await client.send({
+      method: "GET",
+      path: "/v1/resources/priority/office",
+      token: OPERATOR_TOKEN,
+    });
+    t.equal(read.body.revision, changed?.body.revision);
+    t.equal((await client.callModel(program, askModel("x", 1))).status, 200);
+  });
+});
--- /dev/null
+++ b/packages/consensus/src/founding/founding_test.ts
@@ -0,0 +1,63 @@
+import { MEMBER_ROLES } from "@mallowlift/core";
+import { test } from "tap";
+import { decideFromAnswers } from "./founding.ts";
+
+const FOUNDERS = ["r1", "r2", "r3"].map((replicaId) => ({
+  replicaId,
+  address: `${replicaId}:1`,
+}));
+
+function createSelf(replicaId: string, incarnation = "new") {
+  return {
+    replicaId,
+    incarnation,
+    role: MEMBER_ROLES.LEARNER,
+    address: "",
+    failureDomain: "",
+  };
+}
+
+function createAnswer(
+  replicaId: string,
+  founded: boolean,
+  founders: readonly string[] = [],
+) {
+  return {
+    founder: { replicaId, address: `${replicaId}:1` },
+    state: {
+      identity: { replicaId, incarnation: "new" },
+      founded,
+      foundingMembers: founders.map((id) => createSelf(id)),
+    },
+  };
+}
+
+test("only the least founder founds, and only when all are known to be empty", (t) => {
+  const all = [createAnswer("r2", false), createAnswer("r3", false)];
+  const options = { self: createSelf("r1"), founders: FOUNDERS };
+  const decision = decideFromAnswers(all, options);
+  t.equal(decision?.action, "found");
+  t.ok(decision?.members.every((member) => member.role === MEMBER_ROLES.VOTER));
+  t.equal(decideFromAnswers(all.slice(1), options), undefined);
+  const other = [createAnswer("r1", false), createAnswer("r3", false)];
+  t.equal(
+    decideFromAnswers(other, { self: createSelf("r2"), founders: FOUNDERS }),
+    undefined,
+  );
+  t.end();
+});
+
+test("an empty replica of a founded site joins, unless it was there at the founding", (t) => {
+  const founded = [createAnswer("r2", true, ["r1", "r2", "r3"])];
+  const known = decideFromAnswers(founded, {
+    self: createSelf("r1"),
+    founders: FOUNDERS,
+  });
+  t.equal(known?.action, "found");
+  const lost = createSelf("r1", "another");
+  t.equal(
+    decideFromAnswers(founded, { self: lost, founders: FOUNDERS })?.action,
+    "join",
+  );
+  t.end();
+});
--- /dev/null
+++ b/packages/consensus/src/group/membership_keeper_test.ts
@@ -0,0 +1,87 @@
+import fc from "fast-check";
+import { type Member, MEMBER_ROLES } from "@mallowlift/core";
+import { test } from "tap";
+import {
+  addLearner,
+  type MemberHealth,
+  planMembers,
+} from "./membership_keeper.ts";
+
+const SEED = 1;
+const LIMITS = {
+  voterCount: 3,
+  standbyMilliseconds: 1_000,
+  freshMilliseconds: 200,
+};
+
+const role = fc.constantFrom(...Object.values(MEMBER_ROLES));
+const health = fc.array(
+  fc.record({ role, lag: fc.nat(200), silentMilliseconds: fc.nat(2_000) }),
+  { minLength: 2, maxLength: 6 },
+).map((rows): MemberHealth[] =>
+  rows.map((row, number) => ({
+    member: {
+      replicaId: `r${number}`,
+      incarnation: "i",
+      role: number === 0 ? MEMBER_ROLES.VOTER : row.role,
+      address: "",
+      failureDomain: "",
+    },
+    self: number === 0,
+    lag: row.lag,
+    silentMilliseconds: row.silentMilliseconds,
+  }))
+);
+
+function listVoters(members: readonly Member[]): readonly string[] {
+  return members.filter((member) => member.role === MEMBER_ROLES.VOTER)
+    .map((member) => member.replicaId);
+}
+
+test("each change adds or removes one voter at most, and never the leader", (t) => {
+  fc.assert(
+    fc.property(health, (known) => {
+      const before = listVoters(known.map((row) => row.member));
+      const planned = planMembers(known, LIMITS);
+      if (planned === undefined) return;
+      const after = listVoters(planned);
+      const added = after.filter((id) => !before.includes(id));
+      const removed = before.filter((id) => !after.includes(id));
+      t.equal(added.length + removed.length, 1);
+      t.ok(after.includes("r0"));
+      if (removed.length === 1) t.ok(after.length >= LIMITS.voterCount);
+    }),
+    { seed: SEED, numRuns: 300 },
+  );
+  t.end();
+});
+
+test("a member that lacks entries is never promoted", (t) => {
+  fc.assert(
+    fc.property(health, (known) => {
+      const planned = planMembers(known, LIMITS) ?? [];
+      for (const row of known) {
+        const wasVoter = row.member.role === MEMBER_ROLES.VOTER;
+        const isVoter = listVoters(planned).includes(row.member.replicaId);
+        if (!wasVoter && isVoter) {
+          t.ok(row.lag <= 64 && row.silentMilliseconds <= 200);
+        }
+      }
+    }),
+    { seed: SEED, numRuns: 300 },
+  );
+  t.end();
+});
+
+test("a new incarnation takes the place of the old one and does not vote", (t) => {
+  const old = {
+    replicaId: "r1",
+    incarnation: "a",
+    role: MEMBER_ROLES.VOTER,
+    address: "",
+    failureDomain: "",
+  };
+  const joining = { ...old, incarnation: "b", role: MEMBER_ROLES.LEARNER };
+  t.same(addLearner([old], joining), [joining]);
+  t.end();
+});
--- /dev/null
+++ b/packages/consensus/src/replica_groups_test.ts
@@ -0,0 +1,129 @@
+import { performance } from "node:perf_hooks";
+import { test } from "tap";
+import { TestCluster } from "./mocks/test_cluster.ts";
+
+const IDS = ["r1", "r2", "r3"];
+
+test("every replica applies the same commands in the same order", async (t) => {
+  const cluster = new TestCluster(t.testdir(), { ids: IDS });
+  await cluster.start();
+  const names = Array.from({ length: 50 }, (_, number) => `command-${number}`);
+  const leader = await cluster.waitForLeader();
+  const group = cluster.getGroup(leader);
+  const applied = await Promise.all(names.map((name) => group?.propose(name)));
+  t.ok(applied.every((outcome) => outcome?.ok));
+  const isDone = () =>
+    IDS.every((id) => cluster.readCommands(id).length === names.length);
+  await cluster.waitFor("all replicas applied", isDone);
+  for (const id of IDS) t.same(cluster.readCommands(id), names);
+  await cluster.stop();
+});
+
+test("a leader cut off in silence can commit nothing and confirm nothing", async (t) => {
+  const cluster = new TestCluster(t.testdir(), { ids: IDS });
+  await cluster.start();
+  await cluster.commit("before");
+  const old = await cluster.waitForLeader();
+  cluster.isolate(old);
+  const stale = cluster.getGroup(old)?.propose("stale");
+  const confirmed = await cluster.getGroup(old)?.confirmLeadership();
+  t.ok(confirmed?.err);
+  await cluster.commit("after", old);
+  const outcome = await stale;
+  t.ok(outcome?.err);
+  cluster.heal();
+  const isDone = () =>
+    IDS.every((id) => cluster.readCommands(id).includes("after"));
+  await cluster.waitFor("all replicas applied", isDone);
+  for (const id of IDS) t.same(cluster.readCommands(id), ["before", "after"]);
+  await cluster.stop();
+});
+
+test("a replica that comes back after hundreds of changes catches up by snapshot", async (t) => {
+  const cluster = new TestCluster(t.testdir(), {
+    ids: IDS,
+    snapshotEntries: 50,
+  });
+  await cluster.start();
+  await cluster.commit("first");
+  const leader = await cluster.waitForLeader();
+  const late = IDS.find((id) => id !== leader) ?? "";
+  await cluster.crash(late);
+  for (let number = 0; number < 300; number++) {
+    await cluster.commit(`c${number}`);
+  }
+  await cluster.startNode(late);
+  const isDone = () => cluster.readCommands(late).length === 301;
+  await cluster.waitFor("the late replica caught up", isDone);
+  t.same(
+    cluster.readCommands(late),
+    cluster.readCommands(await cluster.waitForLeader()),
+  );
+  await cluster.stop();
+});
+
+test("a lost disk is repaired as a learner, then a second replica is lost", async (t) => {
+  const cluster = new TestCluster(t.testdir(), {
+    ids: IDS,
+    snapshotEntries: 50,
+  });
+  await cluster.start();
+  for (let number = 0; number < 120; number++) {
+    await cluster.commit(`c${number}`);
+  }
+  const leader = await cluster.waitForLeader();
+  const [lost = "", other = ""] = IDS.filter((id) => id !== leader);
+  const before = cluster.getGroup(leader)?.membership.members.find((member) =>
+    member.replicaId === lost
+  );
+  await cluster.crash(lost);
+  cluster.loseData(lost);
+  await cluster.startNode(lost);
+  const isRepaired = () =>
+    cluster.getGroup(lost)?.isHealthy(performance.now()) === true;
+  await cluster.waitFor("the replica is a voter again", isRepaired);
+  const after = cluster.getGroup(leader)?.membership.members.find((member) =>
+    member.replicaId === lost
+  );
+  t.not(after?.incarnation, before?.incarnation);
+  await cluster.crash(other);
+  await cluster.commit("after the second loss");
+  const isDone = () =>
+    cluster.readCommands(lost).includes("after the second loss");
+  await cluster.waitFor("the repaired replica applied", isDone);
+  t.equal(cluster.readCommands(lost).length, 121);
+  await cluster.stop();
+});
+
+test("a standby takes the place of a voter that stays silent", async (t) => {
+  const ids = [...IDS, "s1"];
+  const cluster = new TestCluster(t.testdir(), { ids, standbys: ["s1"] });
+  await cluster.start();
+  await cluster.commit("before");
+  const leader = await cluster.waitForLeader();
+  const isFollowing = () => cluster.readCommands("s1").length === 1;
+  await cluster.waitFor("the standby follows", isFollowing);
+  const lost = IDS.find((id) => id !== leader) ?? "";
+  await cluster.crash(lost);
+  const listVoters = () =>
+    cluster.getGroup(leader)?.membership.voters.map((voter) => voter.replicaId)
+      .sort() ?? [];
+  const isReplaced = () =>
+    listVoters().includes("s1") && !listVoters().includes(lost);
+  await cluster.waitFor("the standby votes", isReplaced);
+  t.equal(listVoters().length, 3);
+  await cluster.stop();
+});
+
+test("a planned stop hands the leadership over", async (t) => {
+  const cluster = new TestCluster(t.testdir(), { ids: IDS });
+  await cluster.start();
+  await cluster.commit("before");
+  const old = await cluster.waitForLeader();
+  await cluster.getGroup(old)?.handOver();
+  t.notOk(cluster.getGroup(old)?.isLeading);
+  await cluster.commit("after");
+  const next = await cluster.waitForLeader();
+  t.same(cluster.readCommands(next), ["before", "after"]);
+  await cluster.stop();
+});
--- a/packages/consensus/src/storage/data_folder.ts
+++ b/packages/consensus/src/storage/data_folder.ts
@@ -185,12 +185,9 @@
 ): Promise<ReplicaIdentity> {
   const path = join(folder, "identity.json");
   if (!existsSync(path)) {
-    const identity = {
-      format: FORMAT_VERSION,
-      replicaId,
-      incarnation: randomUUID(),
-    };
-    await replaceFile(path, Buffer.from(JSON.stringify(identity)));
+    const identity = { replicaId, incarnation: randomUUID() };
+    const content = JSON.stringify({ format: FORMAT_VERSION, ...identity });
+    await replaceFile(path, Buffer.from(content));
     return identity;
   }
   const found = JSON.parse(readFileSync(path, "utf8")) as IdentityFile;
--- /dev/null
+++ b/packages/consensus/src/storage/data_folder_test.ts
@@ -0,0 +1,143 @@
+import { Buffer } from "node:buffer";
+import {
+  appendFileSync,
+  readdirSync,
+  readFileSync,
+  rmSync,
+  writeFileSync,
+} from "node:fs";
+import { join } from "node:path";
+import { ENTRY_KINDS, type LogEntry } from "@mallowlift/core";
+import { test } from "tap";
+import { DataFolder } from "./data_folder.ts";
+
+const GROUPS = [0, 1];
+
+function createEntry(index: number, term: number, size = 10): LogEntry {
+  return {
+    index,
+    term,
+    kind: ENTRY_KINDS.COMMAND,
+    payload: Buffer.alloc(size, index),
+  };
+}
+
+async function open(path: string): Promise<DataFolder> {
+  return await DataFolder.open(path, { replicaId: "r1", groups: GROUPS });
+}
+
+async function appendEntries(
+  folder: DataFolder,
+  entries: readonly LogEntry[],
+): Promise<void> {
+  await folder.log.append(
+    entries.map((entry) => ({ kind: "entry", group: 1, entry })),
+  );
+}
+
+test("votes and entries last; a replaced suffix stays replaced", async (t) => {
+  const path = t.testdir();
+  const first = await open(path);
+  await first.log.append([{ kind: "vote", group: 1, term: 3, votedFor: "r2" }]);
+  await appendEntries(first, [
+    createEntry(1, 1),
+    createEntry(2, 1),
+    createEntry(3, 1),
+  ]);
+  await appendEntries(first, [createEntry(2, 2)]);
+  await first.log.close();
+  const again = await open(path);
+  const stored = again.getStored(1);
+  t.equal(stored.term, 3);
+  t.equal(stored.votedFor, "r2");
+  t.same(stored.entries.map((entry) => [entry.index, entry.term]), [[1, 1], [
+    2,
+    2,
+  ]]);
+  t.same(again.identity, first.identity);
+  await again.log.close();
+});
+
+test("a new folder is a new incarnation", async (t) => {
+  const path = t.testdir();
+  const first = await open(path);
+  await first.log.close();
+  rmSync(path, { recursive: true });
+  const second = await open(path);
+  t.not(second.identity.incarnation, first.identity.incarnation);
+  t.notOk(second.isFounded);
+  await second.log.close();
+});
+
+test("a torn tail is cut back, damage before it stops the replica", async (t) => {
+  const path = t.testdir();
+  const first = await open(path);
+  await appendEntries(first, [createEntry(1, 1), createEntry(2, 1)]);
+  await first.log.close();
+  const [name] = readdirSync(join(path, "log"));
+  const segment = join(path, "log", name ?? "");
+  appendFileSync(segment, "half a rec");
+  const again = await open(path);
+  t.equal(again.getStored(1).entries.length, 2);
+  await appendEntries(again, [createEntry(3, 1)]);
+  await again.log.close();
+  const bytes = readFileSync(segment);
+  bytes[20] = (bytes[20] ?? 0) ^ 1;
+  writeFileSync(segment, bytes);
+  await t.rejects(open(path), /damaged/);
+});
+
+test("snapshots prune segments, and the votes outlive the pruning", async (t) => {
+  const path = t.testdir();
+  const folder = await open(path);
+  await folder.log.append([{
+    kind: "vote",
+    group: 0,
+    term: 7,
+    votedFor: "r3",
+  }]);
+  const large = 9 * 1_024 * 1_024;
+  for (let index = 1; index <= 5; index++) {
+    await appendEntries(folder, [createEntry(index, 1, large)]);
+  }
+  t.ok(readdirSync(join(path, "log")).length > 1);
+  const snapshot = {
+    group: 1,
+    lastIndex: 5,
+    lastTerm: 1,
+    members: [],
+    state: Buffer.from("s"),
+  };
+  await folder.saveSnapshot(snapshot);
+  await folder.saveSnapshot({ ...snapshot, lastIndex: 4 });
+  t.equal(readdirSync(join(path, "log")).length, 1);
+  await appendEntries(folder, [createEntry(6, 1)]);
+  await folder.log.close();
+  const again = await open(path);
+  t.equal(again.getStored(0).term, 7);
+  t.equal(again.getStored(1).snapshot?.lastIndex, 5);
+  t.same(again.getStored(1).entries.map((entry) => entry.index), [6]);
+  await again.log.close();
+});
+
+test("entries that do not follow from an installed snapshot are dropped", async (t) => {
+  const path = t.testdir();
+  const folder = await open(path);
+  await appendEntries(folder, [
+    createEntry(1, 1),
+    createEntry(2, 1),
+    createEntry(3, 1),
+  ]);
+  await folder.log.close();
+  // As after a crash between the snapshot and the reset of the log.
+  await folder.snapshots.save({
+    group: 1,
+    lastIndex: 2,
+    lastTerm: 5,
+    members: [],
+    state: Buffer.alloc(0),
+  });
+  const again = await open(path);
+  t.same(again.getStored(1).entries, []);
+  await again.log.close();
+});
--- a/packages/mocks/src/engine/engine_stream.ts
+++ b/packages/mocks/src/engine/engine_stream.ts
@@ -88,8 +88,11 @@
       this.prefillSteps--;
       return;
     }
-    this.text += composeWord(this.#seed, this.tokens);
-    this.tokens++;
+    // A text to be continued may already be the whole answer.
+    if (this.tokens < this.totalTokens) {
+      this.text += composeWord(this.#seed, this.tokens);
+      this.tokens++;
+    }
     if (this.tokens >= this.totalTokens) {
       this.finished = true;
       this.endedAt = now;
--- a/packages/mocks/src/engine/fake_engine.ts
+++ b/packages/mocks/src/engine/fake_engine.ts
@@ -138,6 +138,11 @@
     return [...this.#models].sort();
   }
 
+  /** True while a generation of a program runs. */
+  isRunning(session: string): boolean {
+    return this.#running.some((known) => known.request.session === session);
+  }
+
   /** Starts to serve. */
   async start(): Promise<void> {
     await this.#server.start();
--- a/packages/transport/src/peer_link.ts
+++ b/packages/transport/src/peer_link.ts
@@ -47,6 +47,8 @@
   readonly #changed = new WakeSignal();
   #connection: Connection | undefined;
   #lastUsedAt = Date.now();
+  /** True after a failed attempt, so that callers look elsewhere at once. */
+  #isRefused = false;
 
   constructor(address: string, options: PeerLinkOptions) {
     this.address = address;
@@ -74,7 +76,7 @@
     options: CallOptions<N>,
   ): Promise<Outcome<InternalHandlers[N]["reply"]>> {
     this.#lastUsedAt = Date.now();
-    if (!this.isConnected) {
+    if (!this.isConnected && !this.#isRefused) {
       const limit = Math.min(
         this.#options.connectMilliseconds,
         options.timeoutMilliseconds,
@@ -101,7 +103,9 @@
     let delay = FIRST_RETRY_MILLISECONDS;
     while (!this.#stopped.signal.aborted) {
       const connection = await this.#connect();
+      this.#isRefused = connection === undefined;
       if (connection === undefined) {
+        this.#changed.wake();
         await sleep(delay, this.#stopped.signal);
         delay = Math.min(delay * 2, LAST_RETRY_MILLISECONDS);
         continue;
--- /dev/null
+++ b/packages/transport/src/peer_link_test.ts
@@ -0,0 +1,129 @@
+import { connect } from "node:net";
+import { once } from "node:events";
+import {
+  createDeferred,
+  createMetrics,
+  fail,
+  RESULT_CODES,
+  SILENT_LOGGER,
+} from "@mallowlift/core";
+import { FaultProxy } from "@mallowlift/mocks";
+import { test } from "tap";
+import { Ok } from "ts-results";
+import { parseAddress } from "./address.ts";
+import type { HandlerTable } from "./handlers.ts";
+import { PeerLink } from "./peer_link.ts";
+import { PeerServer } from "./peer_server.ts";
+
+const KEY = "shared";
+const LIMITS = { maxFrameBytes: 65_536, connectMilliseconds: 2_000 };
+const CALL = { timeoutMilliseconds: 5_000 };
+
+async function startServer(handlers: HandlerTable) {
+  const metrics = createMetrics();
+  const server = new PeerServer({
+    listen: "127.0.0.1:0",
+    sharedKey: KEY,
+    maxFrameBytes: LIMITS.maxFrameBytes,
+    handshakeMilliseconds: LIMITS.connectMilliseconds,
+    handlers,
+    logger: SILENT_LOGGER,
+    metrics,
+  });
+  return { server, metrics, address: await server.start() };
+}
+
+function createLink(address: string, sharedKey = KEY): PeerLink {
+  return new PeerLink(address, { name: "test", sharedKey, ...LIMITS });
+}
+
+test("a call gets its chunks and its answer, a refusal its code", async (t) => {
+  const { server, address } = await startServer({
+    "attempts.attach": (request, context) => {
+      context.sendChunk({ offset: request.offset, text: "ice" });
+      return Promise.resolve(Ok({}));
+    },
+    "consensus.join": () =>
+      Promise.resolve(fail(RESULT_CODES.NOT_LEADER, "Elsewhere")),
+  });
+  const link = createLink(address);
+  const chunks: string[] = [];
+  const key = { group: 1, programId: "p", requestId: "r", attempt: 1 };
+  const attached = await link.call("attempts.attach", { key, offset: 0 }, {
+    ...CALL,
+    onChunk: (chunk) => chunks.push(chunk.text),
+  });
+  t.ok(attached.ok);
+  t.same(chunks, ["ice"]);
+  const member = {
+    replicaId: "a",
+    incarnation: "b",
+    role: "voter",
+    address: "",
+    failureDomain: "",
+  } as const;
+  const refused = await link.call("consensus.join", { group: 1, member }, CALL);
+  t.equal(refused.err && refused.val.code, RESULT_CODES.NOT_LEADER);
+  const unknown = await link.call("replica.status", {}, CALL);
+  t.equal(unknown.err && unknown.val.code, RESULT_CODES.UNKNOWN_METHOD);
+  link.stop();
+  await server.stop();
+});
+
+test("a broken connection ends a call as lost and aborts its handler", async (t) => {
+  const started = createDeferred<void>();
+  const aborted = createDeferred<void>();
+  const { server, address } = await startServer({
+    "replica.status": (_request, context) => {
+      context.signal.addEventListener(
+        "abort",
+        () => aborted.resolve(undefined),
+      );
+      started.resolve(undefined);
+      return new Promise(() => undefined);
+    },
+  });
+  const proxy = new FaultProxy(parseAddress(address));
+  await proxy.start();
+  const link = createLink(proxy.address);
+  const outcome = link.call("replica.status", {}, CALL);
+  await started.promise;
+  proxy.reset();
+  const lost = await outcome;
+  t.equal(lost.err && lost.val.code, RESULT_CODES.CONNECTION_LOST);
+  await aborted.promise;
+  link.stop();
+  await proxy.stop();
+  await server.stop();
+});
+
+test("a peer with another key is refused and nothing is sent", async (t) => {
+  const { server, address } = await startServer({});
+  const link = new PeerLink(address, {
+    name: "test",
+    sharedKey: "other",
+    maxFrameBytes: 1_024,
+    connectMilliseconds: 200,
+  });
+  const refused = await link.call("replica.status", {}, CALL);
+  t.equal(refused.err && refused.val.code, RESULT_CODES.NOT_CONNECTED);
+  link.stop();
+  await server.stop();
+});
+
+test("garbage on the port is refused, counted, and the server goes on", async (t) => {
+  const { server, metrics, address } = await startServer({
+    "cache.release": () => Promise.resolve(Ok({})),
+  });
+  const garbage = connect(parseAddress(address));
+  garbage.on("error", () => undefined);
+  garbage.resume();
+  garbage.write("GET / HTTP/1.1\r\n\r\n");
+  await once(garbage, "close");
+  const counted = await metrics.malformedFrames.get();
+  t.equal(counted.values[0]?.labels.reason, "HANDSHAKE_REFUSED");
+  const link = createLink(address);
+  t.ok((await link.call("cache.release", { programId: "p" }, CALL)).ok);
+  link.stop();
+  await server.stop();
+});
--- a/packages/transport/src/peer_links.ts
+++ b/packages/transport/src/peer_links.ts
@@ -8,6 +8,7 @@
 export class PeerLinks {
   readonly #options: PeerLinkOptions;
   readonly #links = new Map<string, PeerLink>();
+  #stopped = false;
 
   constructor(options: PeerLinkOptions) {
     this.#options = options;
@@ -19,6 +20,8 @@
     if (known !== undefined) return known;
     const link = new PeerLink(address, this.#options);
     this.#links.set(address, link);
+    // A task that ends later than the links must not open new connections.
+    if (this.#stopped) link.stop();
     return link;
   }
 
@@ -33,6 +36,7 @@
 
   /** Closes all links. */
   stop(): void {
+    this.#stopped = true;
     for (const link of this.#links.values()) link.stop();
     this.#links.clear();
   }
