Add mallowctl

Cause: operators had no tool. Change: get, list, apply, delete, watch, drain, status and check-settings, as tables or JSON, with exit codes.

--- /dev/null
+++ b/packages/cli/bin/mallowctl.js
@@ -0,0 +1,2 @@
+#!/usr/bin/env node
+require("../dist/main.js").runMain();
--- /dev/null
+++ b/packages/cli/src/cli_app.ts
@@ -0,0 +1,135 @@
+/** The commands of mallowctl, in one place. */
+
+import process from "node:process";
+import { Command, Option } from "commander";
+import {
+  CommandContext,
+  type CommandOutput,
+  type GlobalOptions,
+} from "./command_context.ts";
+import {
+  applyResource,
+  deleteResource,
+  drainUpstream,
+  getResource,
+  listResources,
+} from "./commands/resource_commands.ts";
+import {
+  checkSettings,
+  showStatus,
+  watchChanges,
+} from "./commands/site_commands.ts";
+
+const DEFAULT_ENTRY = "http://127.0.0.1:8080";
+
+const EXAMPLES = `
+Examples:
+  mallowctl status
+  mallowctl list upstream --output json
+  mallowctl get outfit north
+  mallowctl apply priority crew-on-ice --spec '{"level": 20}'
+  mallowctl apply model field-guide --file field-guide.json --version 3
+  mallowctl drain engine-2
+  mallowctl delete priority office --version 2
+  mallowctl watch --from 0
+  mallowctl check-settings /etc/mallowlift/entry.ini
+
+Exit codes:
+  0 done   1 refused   2 wrong command line or settings
+  3 version conflict   4 no such resource   5 no entry answered`;
+
+/** Makes the command line; nothing runs before it is parsed. */
+export function createCommandLine(output: CommandOutput): Command {
+  const program = new Command("mallowctl")
+    .description("Operator tool of mallowlift")
+    .addOption(
+      new Option("--entry <url>", "address of an entry").env("MALLOWCTL_ENTRY")
+        .default(DEFAULT_ENTRY),
+    )
+    .addOption(
+      new Option("--token <token>", "operator token").env("MALLOWCTL_TOKEN")
+        .default(""),
+    )
+    .addOption(
+      new Option("-o, --output <form>", "form of the output").choices([
+        "table",
+        "json",
+      ])
+        .default("table"),
+    )
+    .addHelpText("after", EXAMPLES)
+    .configureOutput({
+      writeOut: (text) => output.print(text.trimEnd()),
+      writeErr: (text) => output.printError(text.trimEnd()),
+    });
+  const createContext = () =>
+    new CommandContext(program.opts<GlobalOptions>(), output);
+  addResourceCommands(program, createContext);
+  addSiteCommands(program, createContext);
+  return program;
+}
+
+function addResourceCommands(
+  program: Command,
+  createContext: () => CommandContext,
+): void {
+  program.command("get <kind> <name>").description("show one resource")
+    .action((kind: string, name: string) =>
+      getResource(createContext(), { kind, name })
+    );
+  program.command("list <kind>").description("show all resources of a kind")
+    .action((kind: string) => listResources(createContext(), kind));
+  program.command("apply <kind> <name>").description(
+    "create or change a resource",
+  )
+    .option("-f, --file <file>", "JSON file with the spec")
+    .option("-s, --spec <json>", "the spec as JSON")
+    .option(
+      "--version <number>",
+      "version that must be in force; 0 for a new resource",
+    )
+    .option("--order <id>", "order id; the same id again has no second effect")
+    .action((kind: string, name: string, options: object) =>
+      applyResource(createContext(), { kind, name }, options)
+    );
+  program.command("delete <kind> <name>").description("delete a resource")
+    .option("--version <number>", "version that must be in force")
+    .option("--order <id>", "order id; the same id again has no second effect")
+    .action((kind: string, name: string, options: object) =>
+      deleteResource(createContext(), { kind, name }, options)
+    );
+  program.command("drain <upstream>").description("make an upstream leave")
+    .option("--undo", "take the upstream back")
+    .action((upstream: string, options: object) =>
+      drainUpstream(createContext(), upstream, options)
+    );
+}
+
+function addSiteCommands(
+  program: Command,
+  createContext: () => CommandContext,
+): void {
+  program.command("status").description(
+    "show members, leaders, lag, queues and refusals",
+  )
+    .action(() => showStatus(createContext()));
+  program.command("watch").description("print changes as they come")
+    .option("--from <revision>", "changes after this revision", "0")
+    .option("--count <number>", "end after so many changes")
+    .action((options: { from: string; count?: string }) =>
+      watchChanges(createContext(), options)
+    );
+  program.command("check-settings <file>").description(
+    "check a settings file, whole",
+  )
+    .action((file: string) => checkSettings(createContext(), file));
+}
+
+/** Output of a real process. */
+export const PROCESS_OUTPUT: CommandOutput = {
+  print: (line) => void process.stdout.write(`${line}\n`),
+  printError: (line) => void process.stderr.write(`${line}\n`),
+  exit: (code) => {
+    process.exitCode = code;
+  },
+};
--- a/packages/cli/src/mod.ts
+++ b/packages/cli/src/mod.ts
@@ -1,2 +1,8 @@
 /** The mallowctl operator tool. */
-export {};
+
+export * from "./cli_app.ts";
+export * from "./client/operator_client.ts";
+export * from "./exit_codes.ts";
+export * from "./main.ts";
+export * from "./output/describe_status.ts";
+export * from "./output/format_table.ts";
