--- a/packages/core/src/metrics/metrics.ts
+++ b/packages/core/src/metrics/metrics.ts
@@ -40,6 +40,7 @@
   readonly cachedTokens: Counter;
   readonly promptTokens: Counter;
   readonly malformedFrames: Counter<"reason">;
+  readonly peerBytes: Counter<"direction">;
 }
 
 /** Makes an empty set of metrics. */
@@ -112,6 +113,12 @@
       help: "Prompt tokens sent to the engine",
       registers,
     }),
+    peerBytes: new Counter({
+      name: "mallowlift_peer_bytes_total",
+      help: "Bytes on connections to other daemons, by direction",
+      labelNames: ["direction"],
+      registers,
+    }),
     malformedFrames: new Counter({
       name: "mallowlift_malformed_frames_total",
       help: "Internal connections closed for what was sent on them",
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -74,7 +74,8 @@
   const { network, daemon } = settings;
   container.registerInstance(TOKENS.SETTINGS, settings);
   container.registerInstance(TOKENS.LOGGER, logger);
-  container.registerInstance(TOKENS.METRICS, createMetrics());
+  const metrics = createMetrics();
+  container.registerInstance(TOKENS.METRICS, metrics);
   container.registerInstance(TOKENS.BOOT_ID, randomUUID());
   container.registerInstance(
     TOKENS.LINKS,
@@ -83,6 +84,7 @@
       sharedKey: network.sharedKey,
       maxFrameBytes: network.maxFrameBytes,
       connectMilliseconds: network.connectMilliseconds,
+      metrics,
     }),
   );
 }
--- a/packages/sidecar/src/mod.ts
+++ b/packages/sidecar/src/mod.ts
@@ -7,6 +7,7 @@
 export * from "./orders/engine_orders.ts";
 export * from "./orders/order_keeper.ts";
 export * from "./orders/plan_orders.ts";
+export * from "./reports/reporter.ts";
 export * from "./reports/session_keeper.ts";
 export * from "./sidecar_role.ts";
 export * from "./upstream/engine_client.ts";
--- a/packages/transport/src/connection.ts
+++ b/packages/transport/src/connection.ts
@@ -12,6 +12,7 @@
   fail,
   type HandlerName,
   type InternalHandlers,
+  type Metrics,
   type Outcome,
   RESULT_CODES,
   type ResultCode,
@@ -59,6 +60,7 @@
   readonly handlers: HandlerTable;
   /** Counts a connection closed for what was sent on it. */
   readonly onMalformed: (code: ResultCode) => void;
+  readonly metrics?: Metrics;
 }
 
 /** A connection whose peer has proved the shared key. */
@@ -166,11 +168,15 @@
         socket.uncork();
       });
     }
-    socket.write(encodeFrame(frame));
+    const bytes = encodeFrame(frame);
+    this.#parts.metrics?.peerBytes.inc({ direction: "sent" }, bytes.length);
+    socket.write(bytes);
   }
 
   #read(bytes: Buffer): void {
     this.#lastHeardAt = Date.now();
+    const received = { direction: "received" };
+    this.#parts.metrics?.peerBytes.inc(received, bytes.length);
     const messages = this.#parts.reader.push(bytes);
     if (messages.err) return this.#reject(messages.val.code);
     for (const message of messages.val) this.#handleMessage(message);
--- a/packages/transport/src/peer_link.ts
+++ b/packages/transport/src/peer_link.ts
@@ -7,6 +7,7 @@
   fail,
   type HandlerName,
   type InternalHandlers,
+  type Metrics,
   type Outcome,
   RESULT_CODES,
   sleep,
@@ -37,6 +38,7 @@
   readonly sharedKey: string;
   readonly maxFrameBytes: number;
   readonly connectMilliseconds: number;
+  readonly metrics?: Metrics;
 }
 
 /** Keeps a connection to one address open. */
@@ -156,6 +158,7 @@
       peer: this.address,
       handlers: {},
       onMalformed: () => undefined,
+      metrics: this.#options.metrics,
     });
   }
 }
--- a/packages/transport/src/peer_server.ts
+++ b/packages/transport/src/peer_server.ts
@@ -92,6 +92,7 @@
       peer,
       handlers: this.#options.handlers,
       onMalformed: (code) => this.#countMalformed(code),
+      metrics: this.#options.metrics,
     });
     connection.readAhead(messages.takeRest());
   }
