--- a/packages/bench/src/integration/test_site.ts
+++ b/packages/bench/src/integration/test_site.ts
@@ -39,6 +39,8 @@
   options: {
     readonly plan?: Partial<SitePlan>;
     readonly engine?: Partial<FakeEngineOptions>;
+    /** True to let each engine answer differently. */
+    readonly salted?: boolean;
   } = {},
 ): Promise<TestSite> {
   mkdirSync(join(folder, "logs"), { recursive: true });
@@ -49,10 +51,10 @@
     programGroups: 2,
     ...options.plan,
   });
-  const engines = Array.from(
-    { length: site.plan.engines },
-    () => new FakeEngine(options.engine),
-  );
+  const engines = Array.from({ length: site.plan.engines }, (_, number) => {
+    const salt = options.salted === true ? `engine-${number}` : "";
+    return new FakeEngine({ ...options.engine, salt });
+  });
   const services = Array.from(
     { length: site.plan.services },
     () => new FakeService(),
--- a/packages/bench/src/integration/whole_path_test.ts
+++ b/packages/bench/src/integration/whole_path_test.ts
@@ -1,4 +1,6 @@
+import { readdirSync, readFileSync } from "node:fs";
 import { connect } from "node:net";
+import { join } from "node:path";
 import { composeAnswer } from "@mallowlift/mocks";
 import { test } from "tap";
 import { runFirnwatchProgram } from "../site/firnwatch_program.ts";
@@ -13,7 +15,9 @@
 } from "./test_site.ts";
 
 test("the whole path", async (t) => {
-  const running = await startTestSite(t.testdir());
+  const folder = t.testdir();
+  const overrides = { daemon: { log_level: "debug" } };
+  const running = await startTestSite(folder, { plan: { overrides } });
   t.teardown(() => running.stop());
   const { client, rival, site, engines, services } = running;
 
@@ -189,6 +193,15 @@
     t.equal((await client.callModel(program, askModel("fine", 1))).status, 200);
   });
 
+  await t.test("what callers send and get is never logged", (t) => {
+    const logs = join(folder, "logs");
+    for (const name of readdirSync(logs)) {
+      const text = readFileSync(join(logs, name), "utf8");
+      t.notMatch(text, /Question|Which stake|firn\d|"depth_mm"/, name);
+    }
+    t.end();
+  });
+
   await t.test("garbage on the internal port is refused and counted", async (t) => {
     const { plan } = site.get("replica-1");
     const socket = connect(plan.listenPort, "127.0.0.1");
--- /dev/null
+++ b/packages/bench/src/policy/bench_policy.ts
@@ -0,0 +1,247 @@
+/** `npm run bench:policy`: policies side by side on the same programs. */
+
+import { mkdirSync, rmSync } from "node:fs";
+import { join, resolve } from "node:path";
+import process from "node:process";
+import Wreck from "@hapi/wreck";
+import { sleep } from "@mallowlift/core";
+import { Command, Option } from "commander";
+import { recordResults } from "../measure/record_results.ts";
+import { startFakes } from "../site/fakes_process.ts";
+import { OUTFIT_TOKENS, seedResources } from "../site/seed_resources.ts";
+import { Site } from "../site/site.ts";
+import { SiteClient } from "../site/site_client.ts";
+import { runWorkload, type WorkloadResult } from "./run_workload.ts";
+import { planWorkload, type WorkloadName, WORKLOADS } from "./workload.ts";
+
+const SLOTS = 3;
+const STEP_MILLISECONDS = 10;
+const CACHE_TOKENS = 60_000;
+const ENGINES_PER_PROCESS = 4;
+const RELEASE_MILLISECONDS = 6_000;
+
+/** A placement policy with a queue order. */
+interface PolicyChoice {
+  readonly name: string;
+  readonly placement: string;
+  readonly order: string;
+}
+
+const POLICIES: readonly PolicyChoice[] = [
+  { name: "round_robin", placement: "round_robin", order: "first_come" },
+  { name: "least_loaded", placement: "least_loaded", order: "first_come" },
+  {
+    name: "prefix_affinity",
+    placement: "prefix_affinity",
+    order: "first_come",
+  },
+  {
+    name: "expected_finish",
+    placement: "expected_finish",
+    order: "first_come",
+  },
+  {
+    name: "expected_finish+attained",
+    placement: "expected_finish",
+    order: "least_attained",
+  },
+];
+
+/** What one policy measured. */
+export interface PolicyResult extends WorkloadResult {
+  readonly policy: string;
+  readonly workload: string;
+  readonly load: number;
+  readonly seed: number;
+  readonly engines: number;
+  readonly promptTokens: number;
+  /** Prompt tokens computed again that had been computed before. */
+  readonly wastedTokens: number;
+  /** Programs that engines still held after all had ended. */
+  readonly heldAfterEnd: number;
+}
+
+interface BenchOptions {
+  readonly workload: WorkloadName;
+  readonly load: string;
+  readonly policy?: string;
+  readonly seeds: string;
+  readonly seconds: string;
+  readonly engines: string;
+}
+
+function print(line: string): void {
+  process.stdout.write(`${line}\n`);
+}
+
+async function main(): Promise<void> {
+  const options = new Command("npm run bench:policy --")
+    .addOption(
+      new Option("--workload <name>").choices(Object.values(WORKLOADS)).default(
+        "firnwatch",
+      ),
+    )
+    .option("--load <share>", "share of capacity", "0.9")
+    .option("--policy <name>", "one policy; all if missing")
+    .option("--seeds <numbers>", "seeds, separated by commas", "1,2")
+    .option("--seconds <number>", "time of arrivals", "20")
+    .option("--engines <number>", "engines", "12")
+    .parse()
+    .opts<BenchOptions>();
+  const results: PolicyResult[] = [];
+  const policies = POLICIES.filter((known) =>
+    options.policy === undefined || known.name === options.policy
+  );
+  for (const seed of options.seeds.split(",").map(Number)) {
+    for (const policy of policies) {
+      const result = await measurePolicy(policy, options, seed);
+      results.push(result);
+      print(describe(result));
+    }
+  }
+  const name = `policy-${options.workload}-${options.load}`;
+  print(`Results: ${recordResults(name, { results })}`);
+}
+
+async function measurePolicy(
+  policy: PolicyChoice,
+  options: BenchOptions,
+  seed: number,
+): Promise<PolicyResult> {
+  const engines = Number(options.engines);
+  const folder = resolve(".site", "bench-policy");
+  rmSync(folder, { recursive: true, force: true });
+  mkdirSync(join(folder, "logs"), { recursive: true });
+  const fakes = await Promise.all(
+    Array.from(
+      { length: Math.ceil(engines / ENGINES_PER_PROCESS) },
+      (_, number) =>
+        startFakes({
+          name: `fakes-${number}`,
+          logFolder: join(folder, "logs"),
+          engines: Math.min(
+            ENGINES_PER_PROCESS,
+            engines - number * ENGINES_PER_PROCESS,
+          ),
+          services: 0,
+          engine: {
+            stepMilliseconds: STEP_MILLISECONDS,
+            maxBatch: SLOTS,
+            cacheTokens: CACHE_TOKENS,
+          },
+        }),
+    ),
+  );
+  const engineUrls = fakes.flatMap((running) => running.engineUrls);
+  const site = new Site({
+    folder,
+    engines,
+    services: 0,
+    entries: 2,
+    overrides: {
+      daemon: { log_level: "warn" },
+      replica: { placement: policy.placement, calls_per_program: 64 },
+      sidecar: { order: policy.order, slots: SLOTS, queue_limit: 16 },
+    },
+  });
+  await site.start({ engineUrls, serviceUrls: [] });
+  try {
+    const north = new SiteClient(site.entryUrls[0] ?? "", OUTFIT_TOKENS.NORTH);
+    const south = new SiteClient(site.entryUrls[1] ?? "", OUTFIT_TOKENS.SOUTH);
+    await seedResources(north, { engines, services: 0 });
+    await site.waitUntilHealthy();
+    const seconds = Number(options.seconds);
+    const programs = planWorkload({
+      name: options.workload,
+      seed,
+      seconds,
+      load: Number(options.load),
+      slots: SLOTS * engines,
+      stepMilliseconds: STEP_MILLISECONDS,
+    });
+    const result = await runWorkload(programs, {
+      findClient: (outfit) => outfit === "north" ? north : south,
+      stepMilliseconds: STEP_MILLISECONDS,
+      endsAt: seconds * 2_000,
+    });
+    const totals = await readTotals(engineUrls);
+    await sleep(RELEASE_MILLISECONDS);
+    const heldAfterEnd = await countHeld(engineUrls);
+    north.close();
+    south.close();
+    const computed = totals.promptTokens - totals.cachedTokens;
+    return {
+      ...result,
+      policy: policy.name,
+      workload: options.workload,
+      load: Number(options.load),
+      seed,
+      engines,
+      promptTokens: totals.promptTokens,
+      wastedTokens: Math.max(0, computed - result.firstTimeTokens),
+      heldAfterEnd,
+    };
+  } finally {
+    await site.kill();
+    for (const running of fakes) await running.process.kill();
+  }
+}
+
+interface EngineTotals {
+  readonly promptTokens: number;
+  readonly cachedTokens: number;
+}
+
+async function readTotals(urls: readonly string[]): Promise<EngineTotals> {
+  let promptTokens = 0;
+  let cachedTokens = 0;
+  for (const url of urls) {
+    const answer = await Wreck.get(`${url}/v1/load`);
+    const load = JSON.parse(String(answer.payload)) as {
+      prompt_tokens: number;
+      cached_tokens: number;
+    };
+    promptTokens += load.prompt_tokens;
+    cachedTokens += load.cached_tokens;
+  }
+  return { promptTokens, cachedTokens };
+}
+
+async function countHeld(urls: readonly string[]): Promise<number> {
+  let held = 0;
+  for (const url of urls) {
+    const answer = await Wreck.get(`${url}/v1/cache/sessions`);
+    const { sessions } = JSON.parse(String(answer.payload)) as {
+      sessions: readonly string[];
+    };
+    held += sessions.length;
+  }
+  return held;
+}
+
+function describe(result: PolicyResult): string {
+  const { program, slowdown, firstToken, tokenGap } = result;
+  const wasted =
+    Math.round((result.wastedTokens / result.promptTokens) * 1_000) / 10;
+  const refused = result.refusals.map((known) =>
+    `${known.count} ${known.reason}`
+  ).join(", ");
+  return `${result.workload} ${result.load} seed ${result.seed} ${result.policy}: ` +
+    `${result.finished}/${result.programs} programs, ` +
+    `p50 ${program.p50} p95 ${program.p95} p99 ${program.p99} ms, ` +
+    `slowdown p95 ${(slowdown.p95 / 1_000).toFixed(2)}, ` +
+    `first token p95 ${firstToken.p95} ms, gap p95 ${tokenGap.p95} ms, ` +
+    `wasted ${wasted}% of ${result.promptTokens}, fairness ${
+      result.fairness.toFixed(2)
+    }, ` +
+    `held ${result.heldAfterEnd}, refused ${refused || "none"}`;
+}
+
+if (require.main === module) {
+  main().then(() => process.exit(0), (thrown) => {
+    process.stderr.write(
+      `${thrown instanceof Error ? thrown.stack : String(thrown)}\n`,
+    );
+    process.exit(1);
+  });
+}
--- /dev/null
+++ b/packages/bench/src/policy/run_workload.ts
@@ -0,0 +1,181 @@
+/** Runs a planned workload against a site and measures whole programs. */
+
+import { sleep } from "@mallowlift/core";
+import { LatencyRecorder, type LatencySummary } from "../measure/latency.ts";
+import { SITE_MODEL } from "../site/seed_resources.ts";
+import type { SiteClient } from "../site/site_client.ts";
+import {
+  estimateChain,
+  type PlannedCall,
+  type PlannedProgram,
+} from "./workload.ts";
+
+const LEAST_RETRY_MILLISECONDS = 50;
+
+/** What a workload measured. */
+export interface WorkloadResult {
+  readonly programs: number;
+  readonly finished: number;
+  readonly program: LatencySummary;
+  /** Program latency over that of the unloaded chain, times 1,000 milliseconds. */
+  readonly slowdown: LatencySummary;
+  readonly firstToken: LatencySummary;
+  readonly tokenGap: LatencySummary;
+  readonly refusals: readonly RefusalNote[];
+  /** Mean slowdown of one outfit over that of the other; 1 is fair. */
+  readonly fairness: number;
+  /** New prompt tokens that nobody had sent before. */
+  readonly firstTimeTokens: number;
+}
+
+/** How often a reason was given. */
+export interface RefusalNote {
+  readonly reason: string;
+  readonly count: number;
+}
+
+/** Who calls, and until when. */
+export interface WorkloadTargets {
+  findClient(outfit: PlannedProgram["outfit"]): SiteClient;
+  readonly stepMilliseconds: number;
+  /** When the run is over, from its start; open programs are not counted. */
+  readonly endsAt: number;
+}
+
+/** Collects what the callers of one run see. */
+class RunRecorder {
+  readonly program = new LatencyRecorder();
+  readonly slowdown = new LatencyRecorder();
+  readonly firstToken = new LatencyRecorder();
+  readonly tokenGap = new LatencyRecorder();
+  readonly refusals = new Map<string, number>();
+  readonly slowdowns = { north: [] as number[], south: [] as number[] };
+  readonly kinds = new Set<number>();
+  finished = 0;
+  firstTimeTokens = 0;
+}
+
+/** Starts each program at its time and waits until the run is over. */
+export async function runWorkload(
+  programs: readonly PlannedProgram[],
+  targets: WorkloadTargets,
+): Promise<WorkloadResult> {
+  const recorder = new RunRecorder();
+  const startedAt = performance.now();
+  const isOver = () => performance.now() - startedAt > targets.endsAt;
+  const running = programs.map(async (program) => {
+    await sleep(program.startsAt);
+    if (isOver()) return;
+    await runProgram(program, { targets, recorder, isOver }).catch(() =>
+      undefined
+    );
+  });
+  await Promise.race([Promise.all(running), sleep(targets.endsAt + 2_000)]);
+  const mean = (values: readonly number[]) =>
+    values.reduce((sum, value) => sum + value, 0) / Math.max(1, values.length);
+  return {
+    programs: programs.length,
+    finished: recorder.finished,
+    program: recorder.program.summarize(),
+    slowdown: recorder.slowdown.summarize(),
+    firstToken: recorder.firstToken.summarize(),
+    tokenGap: recorder.tokenGap.summarize(),
+    refusals: [...recorder.refusals].map(([reason, count]) => ({
+      reason,
+      count,
+    })),
+    fairness: mean(recorder.slowdowns.north) / mean(recorder.slowdowns.south),
+    firstTimeTokens: recorder.firstTimeTokens,
+  };
+}
+
+interface RunParts {
+  readonly targets: WorkloadTargets;
+  readonly recorder: RunRecorder;
+  readonly isOver: () => boolean;
+}
+
+async function runProgram(
+  program: PlannedProgram,
+  parts: RunParts,
+): Promise<void> {
+  const { targets, recorder, isOver } = parts;
+  const client = targets.findClient(program.outfit);
+  const startedAt = performance.now();
+  const created = await client.createProgram({
+    request_id: `program-${program.number}`,
+  });
+  const id = String(created.body.program);
+  if (!recorder.kinds.has(program.kind)) {
+    recorder.kinds.add(program.kind);
+    recorder.firstTimeTokens += program.sharedTokens;
+  }
+  for (const [turn, call] of program.calls.entries()) {
+    const target = call.byChild ? await createChild(client, id, turn) : id;
+    const shared = turn === 0 || call.byChild ? program.shared : undefined;
+    await makeCall(client, { program: target, turn, call, shared, parts });
+    if (call.byChild) await client.endProgram(target);
+    await sleep(call.pauseMilliseconds);
+    if (isOver()) return;
+  }
+  const latency = performance.now() - startedAt;
+  await client.endProgram(id);
+  const slowdown = latency / estimateChain(program, targets.stepMilliseconds);
+  recorder.finished++;
+  recorder.program.add(latency);
+  recorder.slowdown.add(slowdown * 1_000);
+  recorder.slowdowns[program.outfit].push(slowdown);
+}
+
+async function createChild(
+  client: SiteClient,
+  parent: string,
+  turn: number,
+): Promise<string> {
+  const created = await client.createChild(parent, {
+    request_id: `child-${turn}`,
+  });
+  return String(created.body.program);
+}
+
+async function makeCall(
+  client: SiteClient,
+  options: {
+    readonly program: string;
+    readonly turn: number;
+    readonly call: PlannedCall;
+    readonly shared: string | undefined;
+    readonly parts: RunParts;
+  },
+): Promise<void> {
+  const { program, turn, call, shared, parts } = options;
+  const { recorder, isOver } = parts;
+  const messages = [{ role: "user", content: call.message }];
+  if (shared !== undefined) {
+    messages.unshift({ role: "system", content: shared });
+  }
+  const askedAt = performance.now();
+  while (!isOver()) {
+    const sentAt = performance.now();
+    const answer = await client.streamModel(program, {
+      request_id: `turn-${turn}`,
+      model: SITE_MODEL,
+      messages,
+      max_tokens: call.answerTokens,
+    });
+    const reason = answer.body?.error?.name as string | undefined;
+    if (answer.whole) {
+      recorder.firstTimeTokens += call.messageTokens;
+      const waited = sentAt - askedAt;
+      recorder.firstToken.add(waited + (answer.chunkTimes[0] ?? 0));
+      for (const [position, time] of answer.chunkTimes.slice(1).entries()) {
+        recorder.tokenGap.add(time - (answer.chunkTimes[position] ?? 0));
+      }
+      return;
+    }
+    const name = reason ?? "broken";
+    recorder.refusals.set(name, (recorder.refusals.get(name) ?? 0) + 1);
+    const retry = Number(answer.body?.error?.retry_after_ms ?? 0);
+    await sleep(Math.max(LEAST_RETRY_MILLISECONDS, retry));
+  }
+}
--- a/packages/bench/src/site/managed_process.ts
+++ b/packages/bench/src/site/managed_process.ts
@@ -44,6 +44,8 @@
       ...this.plan.scriptArguments,
     ], {
       stdio: ["ignore", log, log],
+      // Ctrl-C reaches the starter alone, which stops its processes in order.
+      detached: true,
     });
     closeSync(log);
     const exited = createDeferred<number>();
--- /dev/null
+++ b/packages/bench/src/slopes/capacity_texts.ts
@@ -0,0 +1,66 @@
+/** The parts of docs/CAPACITY.md that are not figures. */
+
+/** What the page is. */
+export const CAPACITY_INTRODUCTION = `# Capacity
+
+What each role needs at the two-year target: 390 daemons before 600 servers on
+4,800 accelerators, 3,600 requests and 1 million generated tokens a second,
+37,000 programs, 12,000 workspaces, 22 models, 3 regions with 8 failure domains.
+
+This page is written by \`npm run capacity\` from \`docs/results/slopes.json\`, which
+\`npm run bench:slopes\` records. Three kinds of figures stand apart: **measured**
+ones come from a run on one machine, **extrapolated** ones are a measured slope
+times the target size, and **assumed** ones are listed below. The machine is
+noisy, so a slope within its own standard error is marked as noise.
+`;
+
+/** What carries each share, and what would where it is missing. */
+export const MECHANISMS: Readonly<Record<string, string>> = {
+  followers: "long polls of one second at the configuration leader; " +
+    "where that is missing: relays per failure domain, which poll for their daemons",
+  sidecars: "a report to each replica every 500 ms; " +
+    "where that is missing: relays that merge the reports of a failure domain",
+  resources:
+    "all resources in memory at each daemon; a restart reads them whole; " +
+    "where that is missing: daemons follow only the kinds that their role reads",
+  programs: "programs in memory, spread over groups; " +
+    "ended ones are forgotten after `forget_milliseconds`",
+  history: "histories are in the memory of every replica; " +
+    "to come: bodies in files, spread over daemons, with only digests in the log",
+  calls:
+    "two group commits for each call; where that is missing: program groups led " +
+    "and kept by more daemons than the four that are set aside for control",
+  groups:
+    "one connection per peer for all groups; where that is missing: one heartbeat " +
+    "for all groups of a pair",
+};
+
+/** What had to be assumed. */
+export const CAPACITY_ASSUMPTIONS = `## Assumed
+
+- A program has on average a fifth of the longest history (46,000 tokens of 4
+  bytes). At 37,000 programs that is 6.8 GB.
+- Each workspace, server and model is one resource.
+- Every daemon is an entry as well, so an entry's share of the peak is 9.2 calls
+  and 2,564 tokens a second. Tokens pass from sidecar to entry and never through
+  a replica.
+- Twelve program groups, led evenly.
+- Processor time on the measuring machine stands for that of an instance.
+- Extrapolation is straight. Pauses for snapshots grow with the state and are not
+  in the slopes.
+`;
+
+/** What happens on ordinary and bad days. */
+export const CAPACITY_EVENTS = `## Events
+
+None of the rows below was measured at the target's size.
+
+| event | what carries it | state |
+| --- | --- | --- |
+| 110 restarts a day | a daemon reads the configuration whole at its start and refuses work until then; a sidecar's restart makes open calls that may not repeat unknown | built; tested one at a time |
+| 8 instances fail a day | reports stop, owners place elsewhere after 2.5 s; a replica's place is taken by a standby | built; tested one at a time |
+| a rack or switch goes | three voters in three failure domains; sidecars are placed by load only | failure domains are not yet weighed in placement |
+| a failure domain goes | a quorum of two remains; after 30 s a standby becomes the third voter | built; tested on one machine |
+| a region is cut off for minutes | the side without a quorum refuses work within 4 s and says that nothing ran; running calls end as recorded or unknown | built; tested by cutting one entry and one replica; regions have no group of their own yet, so a region without the leader pays its distance for each commit |
+| 380 changes a day | one commit each; long polls wake at once | built; measured above |
+`;
--- /dev/null
+++ b/packages/consensus/src/group/applier.ts
@@ -0,0 +1,140 @@
+/** Applies committed entries, answers their proposers, and takes snapshots. */
+
+import { decode } from "cbor-x";
+import {
+  createDeferred,
+  type Deferred,
+  ENTRY_KINDS,
+  fail,
+  type LogEntry,
+  type Outcome,
+  RESULT_CODES,
+} from "@mallowlift/core";
+import { Ok } from "ts-results";
+import type { Snapshot } from "../storage/snapshot_store.ts";
+import type { EntryStore } from "./entry_store.ts";
+import type { GroupOptions } from "./group_options.ts";
+
+/** A committed command and what the state machine made of it. */
+export interface Applied {
+  readonly index: number;
+  readonly result: unknown;
+}
+
+interface Proposal {
+  readonly term: number;
+  readonly done: Deferred<Outcome<Applied>>;
+}
+
+/** Drives the state machine of a group. */
+export class Applier {
+  readonly #options: GroupOptions;
+  readonly #store: EntryStore;
+  readonly #proposals = new Map<number, Proposal>();
+  #commitIndex: number;
+  #appliedIndex: number;
+  #snapshotting = false;
+
+  constructor(options: GroupOptions, store: EntryStore) {
+    const { snapshot } = options.folder.getStored(options.group);
+    this.#options = options;
+    this.#store = store;
+    this.#commitIndex = snapshot?.lastIndex ?? 0;
+    this.#appliedIndex = this.#commitIndex;
+    options.stateMachine.restore(snapshot?.state ?? new Uint8Array());
+  }
+
+  /** Last entry that is known to be committed. */
+  get commitIndex(): number {
+    return this.#commitIndex;
+  }
+
+  /** Last entry that the state machine has applied. */
+  get appliedIndex(): number {
+    return this.#appliedIndex;
+  }
+
+  /** Waits for an entry that is about to be appended. */
+  waitFor(entry: LogEntry): Promise<Outcome<Applied>> {
+    const proposal: Proposal = { term: entry.term, done: createDeferred() };
+    this.#proposals.set(entry.index, proposal);
+    return proposal.done.promise;
+  }
+
+  /** Ends all proposals: their entries may or may not become committed. */
+  loseProposals(): void {
+    for (const proposal of this.#proposals.values()) {
+      proposal.done.resolve(loseLeadership());
+    }
+    this.#proposals.clear();
+  }
+
+  /** Applies what is committed up to an index. */
+  commitUntil(index: number): void {
+    if (index <= this.#commitIndex) return;
+    this.#commitIndex = index;
+    while (this.#appliedIndex < this.#commitIndex) {
+      const entry = this.#store.log.get(this.#appliedIndex + 1);
+      if (entry === undefined) break;
+      this.#appliedIndex = entry.index;
+      this.#apply(entry);
+    }
+    void this.#snapshotIfDue();
+  }
+
+  /** Puts a snapshot of the leader in place of the own state and log. */
+  async install(snapshot: Snapshot): Promise<void> {
+    const { lastIndex, lastTerm, members, state } = snapshot;
+    if (lastIndex <= this.#commitIndex) return;
+    await this.#options.folder.installSnapshot(snapshot);
+    if (lastIndex <= this.#commitIndex) return;
+    this.#store.reset(lastIndex, lastTerm, { members });
+    this.#options.stateMachine.restore(state);
+    this.#commitIndex = lastIndex;
+    this.#appliedIndex = lastIndex;
+    this.#options.logger.info("Snapshot installed", {
+      group: snapshot.group,
+      lastIndex,
+    });
+  }
+
+  #apply(entry: LogEntry): void {
+    let result: unknown;
+    if (entry.kind === ENTRY_KINDS.COMMAND) {
+      const command: unknown = decode(entry.payload);
+      result = this.#options.stateMachine.apply(command, entry.index);
+    }
+    const proposal = this.#proposals.get(entry.index);
+    if (proposal === undefined) return;
+    this.#proposals.delete(entry.index);
+    const isOwn = proposal.term === entry.term;
+    proposal.done.resolve(
+      isOwn ? Ok({ index: entry.index, result }) : loseLeadership(),
+    );
+  }
+
+  async #snapshotIfDue(): Promise<void> {
+    const { log, membership } = this.#store;
+    const { timing, folder, stateMachine, group } = this.#options;
+    const pending = this.#appliedIndex - log.baseIndex;
+    if (pending < timing.snapshotEntries || this.#snapshotting) return;
+    this.#snapshotting = true;
+    const lastIndex = this.#appliedIndex;
+    await folder.saveSnapshot({
+      group,
+      lastIndex,
+      lastTerm: log.findTerm(lastIndex) ?? 0,
+      members: membership.findAt(lastIndex),
+      state: stateMachine.takeSnapshot(),
+    });
+    log.dropUntil(lastIndex);
+    this.#snapshotting = false;
+  }
+}
+
+function loseLeadership() {
+  return fail(
+    RESULT_CODES.LEADERSHIP_LOST,
+    "Leadership was lost before the quorum answered",
+  );
+}
--- a/packages/consensus/src/group/replicated_group.ts
+++ b/packages/consensus/src/group/replicated_group.ts
@@ -2,19 +2,16 @@
 
 import { performance } from "node:perf_hooks";
 import { Buffer } from "node:buffer";
-import { decode, encode } from "cbor-x";
+import { encode } from "cbor-x";
 import {
   ABORTED,
   type AppendReply,
   type AppendRequest,
-  createDeferred,
-  type Deferred,
   ENTRY_KINDS,
   type EntryKind,
   fail,
   type GroupStatus,
   type HandoverRequest,
-  type LogEntry,
   type Member,
   type Outcome,
   RESULT_CODES,
@@ -25,66 +22,42 @@
   type VoteRequest,
 } from "@mallowlift/core";
 import { Ok } from "ts-results";
-import type { EntryRecord } from "../storage/write_ahead_log.ts";
+import { type Applied, Applier } from "./applier.ts";
 import { askForVotes, type Ballot } from "./election.ts";
-import { GroupLog } from "./group_log.ts";
+import { EntryStore } from "./entry_store.ts";
 import type { GroupOptions } from "./group_options.ts";
+import { IncomingSnapshot } from "./incoming_snapshot.ts";
 import { Leadership } from "./leadership.ts";
-import { decodeMembers, encodeMembers, Membership } from "./membership.ts";
+import { encodeMembers, type Membership } from "./membership.ts";
 
 const HANDOVER_MILLISECONDS = 2_000;
 
-/** A committed command and what the state machine made of it. */
-export interface Applied {
-  readonly index: number;
-  readonly result: unknown;
-}
-
-interface Proposal {
-  readonly term: number;
-  readonly done: Deferred<Outcome<Applied>>;
-}
-
 /** Replicates commands; see docs/ARCHITECTURE.md for the rules it keeps. */
 export class ReplicatedGroup {
   readonly group: number;
   readonly #options: GroupOptions;
-  readonly #log: GroupLog;
-  readonly #membership: Membership;
-  readonly #proposals = new Map<number, Proposal>();
+  readonly #store: EntryStore;
+  readonly #applier: Applier;
+  readonly #incoming = new IncomingSnapshot();
   readonly #stopped = new AbortController();
   #term: number;
   #votedFor: string;
   #leader = "";
   #heardAt = -Infinity;
-  #syncedIndex: number;
-  #commitIndex: number;
-  #appliedIndex: number;
   #leadership: Leadership | undefined;
   #announced = false;
   #handingOver = false;
   #electing = false;
-  #snapshotting = false;
-  #incoming: Buffer[] = [];
 
   constructor(options: GroupOptions) {
     this.#options = options;
     this.group = options.group;
     const stored = options.folder.getStored(options.group);
-    const base = stored.snapshot?.lastIndex ?? 0;
     this.#term = stored.term;
     this.#votedFor = stored.votedFor;
-    this.#log = new GroupLog(
-      base,
-      stored.snapshot?.lastTerm ?? 0,
-      stored.entries,
-    );
-    this.#membership = new Membership(base, stored.snapshot?.members ?? []);
-    for (const entry of stored.entries) this.#noteMembership(entry);
-    options.stateMachine.restore(stored.snapshot?.state ?? new Uint8Array());
-    this.#syncedIndex = this.#log.lastIndex;
-    this.#commitIndex = base;
-    this.#appliedIndex = base;
+    this.#store = new EntryStore(stored, options.folder);
+    this.#store.onMembership = (now) => this.#leadership?.followMembership(now);
+    this.#applier = new Applier(options, this.#store);
   }
 
   /** Starts the election task. */
@@ -121,12 +94,12 @@
 
   /** Members by the newest entry. */
   get membership(): Membership {
-    return this.#membership;
+    return this.#store.membership;
   }
 
   /** Index of the last applied entry. */
   get appliedIndex(): number {
-    return this.#appliedIndex;
+    return this.#applier.appliedIndex;
   }
 
   /** Milliseconds since a leader was heard; 0 while leading. */
@@ -136,16 +109,16 @@
 
   /** True if this replica counts, follows a leader and is not far behind. */
   isHealthy(now: number): boolean {
-    const member = this.#membership.find(this.#options.identity);
+    const member = this.#store.membership.find(this.#options.identity);
     if (member === undefined || member.role === "learner") return false;
     const limit = 4 * this.#options.timing.electionMilliseconds;
     return this.findSilence(now) < limit &&
-      this.#appliedIndex >= this.#commitIndex;
+      this.#applier.appliedIndex >= this.#applier.commitIndex;
   }
 
   /**
    * Replicates a command and returns what the state machine made of it.
-   * After NOT_LEADER the command may or may not have been committed.
+   * After LEADERSHIP_LOST the command may or may not be committed.
    */
   async propose(command: unknown): Promise<Outcome<Applied>> {
     if (!this.#announced || this.#handingOver) return this.#refuse();
@@ -156,19 +129,21 @@
   async confirmLeadership(): Promise<Outcome<void>> {
     const leadership = this.#leadership;
     if (leadership === undefined || !this.#announced) return this.#refuse();
-    const index = this.#commitIndex;
+    const index = this.#applier.commitIndex;
     const confirmed = await leadership.confirm(
       this.#options.timing.electionMilliseconds,
     );
     if (confirmed.err) return confirmed;
-    if (leadership.isOver || this.#appliedIndex < index) return this.#refuse();
+    if (leadership.isOver || this.#applier.appliedIndex < index) {
+      return this.#refuse();
+    }
     return Ok(undefined);
   }
 
   /** Changes the members by one voter at most; waits until it is committed. */
   async changeMembers(members: readonly Member[]): Promise<Outcome<Applied>> {
     if (!this.#announced) return this.#refuse();
-    if (this.#membership.changedAt > this.#commitIndex) {
+    if (this.#store.membership.changedAt > this.#applier.commitIndex) {
       return fail(
         RESULT_CODES.VERSION_CONFLICT,
         "A membership change is under way",
@@ -227,25 +202,30 @@
       return Ok({ term, accepted: false, matchIndex: 0 });
     }
     this.#followLeader(request.term, request.from.replicaId);
-    if (request.previousIndex < this.#log.baseIndex) {
+    if (request.previousIndex < this.#store.log.baseIndex) {
       return Ok({
         term: this.#term,
         accepted: false,
-        matchIndex: this.#commitIndex,
+        matchIndex: this.#applier.commitIndex,
       });
     }
-    if (this.#log.findTerm(request.previousIndex) !== request.previousTerm) {
-      const hint = Math.min(request.previousIndex - 1, this.#log.lastIndex);
-      const matchIndex = Math.max(this.#commitIndex, hint);
+    if (
+      this.#store.log.findTerm(request.previousIndex) !== request.previousTerm
+    ) {
+      const hint = Math.min(
+        request.previousIndex - 1,
+        this.#store.log.lastIndex,
+      );
+      const matchIndex = Math.max(this.#applier.commitIndex, hint);
       return Ok({ term: this.#term, accepted: false, matchIndex });
     }
     const matchIndex = request.previousIndex + request.entries.length;
-    await this.#storeEntries(request.entries);
+    await this.#store.storeFromLeader(request.entries);
     if (this.#term !== request.term) {
       return Ok({ term: this.#term, accepted: false, matchIndex: 0 });
     }
     this.#heardAt = performance.now();
-    this.#commitUntil(Math.min(request.commitIndex, matchIndex));
+    this.#applier.commitUntil(Math.min(request.commitIndex, matchIndex));
     return Ok({ term: this.#term, accepted: true, matchIndex });
   }
 
@@ -263,17 +243,11 @@
       return Ok({ term: this.#term, accepted: false });
     }
     this.#followLeader(request.term, request.from.replicaId);
-    if (request.offset === 0) this.#incoming = [];
-    const received = this.#incoming.reduce((sum, part) => sum + part.length, 0);
-    if (request.offset !== received) {
+    if (!this.#incoming.take(request)) {
       return Ok({ term: this.#term, accepted: false });
     }
-    this.#incoming.push(Buffer.from(request.part));
-    if (!request.last) return Ok({ term: this.#term, accepted: true });
-    const state = Buffer.concat(this.#incoming);
-    this.#incoming = [];
-    if (request.lastIndex > this.#commitIndex) {
-      await this.#installSnapshot(request, state);
+    if (request.last) {
+      await this.#applier.install(this.#incoming.finish(request));
     }
     return Ok({ term: this.#term, accepted: true });
   }
@@ -285,7 +259,7 @@
     const forMe = this.#isForMe(request.toIncarnation);
     if (
       forMe && request.term === this.#term &&
-      this.#log.lastIndex >= request.lastIndex
+      this.#store.log.lastIndex >= request.lastIndex
     ) {
       await this.#elect(true);
     }
@@ -299,10 +273,10 @@
       state: this.#leadership === undefined ? "follower" : "leader",
       term: this.#term,
       leader: this.#leader,
-      commitIndex: this.#commitIndex,
-      lastIndex: this.#log.lastIndex,
-      snapshotIndex: this.#log.baseIndex,
-      members: this.#membership.members,
+      commitIndex: this.#applier.commitIndex,
+      lastIndex: this.#store.log.lastIndex,
+      snapshotIndex: this.#store.log.baseIndex,
+      members: this.#store.membership.members,
       lag: this.#leadership?.describeLag(now) ?? [],
     };
   }
@@ -319,10 +293,10 @@
   }
 
   #isUpToDate(ballot: Ballot): boolean {
-    if (ballot.lastTerm !== this.#log.lastTerm) {
-      return ballot.lastTerm > this.#log.lastTerm;
+    if (ballot.lastTerm !== this.#store.log.lastTerm) {
+      return ballot.lastTerm > this.#store.log.lastTerm;
     }
-    return ballot.lastIndex >= this.#log.lastIndex;
+    return ballot.lastIndex >= this.#store.log.lastIndex;
   }
 
   async #runElections(): Promise<void> {
@@ -345,7 +319,8 @@
     const since = now - 2 * this.#options.timing.electionMilliseconds;
     const joined = leadership.startedAt < since;
     if (
-      !joined || leadership.countAckedSince(since) >= this.#membership.quorum
+      !joined ||
+      leadership.countAckedSince(since) >= this.#store.membership.quorum
     ) return;
     this.#options.logger.warn("Stepped down without a quorum", {
       group: this.group,
@@ -355,7 +330,7 @@
 
   async #elect(handover: boolean): Promise<void> {
     if (this.#electing || this.#leadership !== undefined) return;
-    if (!this.#membership.isVoter(this.#options.identity)) return;
+    if (!this.#store.membership.isVoter(this.#options.identity)) return;
     this.#electing = true;
     try {
       if (!handover && !await this.#wins({ preVote: true, handover })) return;
@@ -380,12 +355,12 @@
     const ballot: Ballot = {
       ...kind,
       term: kind.preVote ? term + 1 : term,
-      lastIndex: this.#log.lastIndex,
-      lastTerm: this.#log.lastTerm,
+      lastIndex: this.#store.log.lastIndex,
+      lastTerm: this.#store.log.lastTerm,
     };
     const result = await askForVotes(ballot, {
       options: this.#options,
-      membership: this.#membership,
+      membership: this.#store.membership,
     });
     if (result.highestTerm > ballot.term) this.#adoptTerm(result.highestTerm);
     return result.won && this.#term === term;
@@ -397,11 +372,11 @@
     const leadership = new Leadership({
       term: this.#term,
       options: this.#options,
-      log: this.#log,
-      membership: this.#membership,
-      getSyncedIndex: () => this.#syncedIndex,
-      getCommitIndex: () => this.#commitIndex,
-      onCommit: (index) => this.#commitUntil(index),
+      log: this.#store.log,
+      membership: this.#store.membership,
+      getSyncedIndex: () => this.#store.syncedIndex,
+      getCommitIndex: () => this.#applier.commitIndex,
+      onCommit: (index) => this.#applier.commitUntil(index),
       onHigherTerm: (term) => this.#adoptTerm(term),
     });
     this.#leadership = leadership;
@@ -429,10 +404,7 @@
     leadership.end();
     if (this.#leader === this.#options.identity.replicaId) this.#leader = "";
     this.#heardAt = performance.now();
-    for (const proposal of this.#proposals.values()) {
-      proposal.done.resolve(this.#refuse());
-    }
-    this.#proposals.clear();
+    this.#applier.loseProposals();
     if (!this.#announced) return;
     this.#announced = false;
     this.#options.metrics.leading.set({ group: this.group }, 0);
@@ -468,155 +440,24 @@
   ): Promise<Outcome<Applied>> {
     const leadership = this.#leadership;
     if (leadership === undefined) return this.#refuse();
-    const entry = {
-      index: this.#log.lastIndex + 1,
-      term: leadership.term,
-      kind,
-      payload,
-    };
-    const proposal: Proposal = { term: entry.term, done: createDeferred() };
+    const index = this.#store.log.lastIndex + 1;
+    const entry = { index, term: leadership.term, kind, payload };
     const startedAt = performance.now();
-    this.#proposals.set(entry.index, proposal);
-    this.#appendToLog(entry);
-    const synced = this.#saveEntries([entry]);
+    const applied = this.#applier.waitFor(entry);
+    const synced = this.#store.appendOwn(entry);
     leadership.wake();
     await synced;
-    if (!leadership.isOver) {
-      this.#syncedIndex = Math.max(this.#syncedIndex, entry.index);
-      leadership.advanceCommit();
-    }
-    const outcome = await proposal.done.promise;
+    leadership.advanceCommit();
+    const outcome = await applied;
     const seconds = (performance.now() - startedAt) / 1_000;
     this.#options.metrics.commitSeconds.observe({ group: this.group }, seconds);
     return outcome;
   }
 
-  #saveEntries(entries: readonly LogEntry[]): Promise<void> {
-    const records: EntryRecord[] = entries.map((entry) => ({
-      kind: "entry",
-      group: this.group,
-      entry,
-    }));
-    return this.#options.folder.log.append(records);
-  }
-
-  #appendToLog(entry: LogEntry): void {
-    this.#log.append(entry);
-    this.#noteMembership(entry);
-  }
-
-  #noteMembership(entry: LogEntry): void {
-    if (entry.kind !== ENTRY_KINDS.MEMBERSHIP) return;
-    this.#membership.append(entry.index, decodeMembers(entry.payload));
-    this.#leadership?.followMembership(performance.now());
-  }
-
-  async #storeEntries(entries: readonly LogEntry[]): Promise<void> {
-    const fresh: LogEntry[] = [];
-    for (const entry of entries) {
-      if (entry.index <= this.#log.baseIndex) continue;
-      if (
-        fresh.length === 0 && this.#log.findTerm(entry.index) === entry.term
-      ) continue;
-      if (fresh.length === 0 && entry.index <= this.#log.lastIndex) {
-        this.#log.truncateFrom(entry.index);
-        this.#membership.truncateFrom(entry.index);
-        this.#syncedIndex = Math.min(this.#syncedIndex, entry.index - 1);
-      }
-      fresh.push(entry);
-      this.#appendToLog(entry);
-    }
-    // Entries known before may still be on their way to the disk, so an
-    // empty append waits for the sync as well.
-    const isSynced = fresh.length === 0 &&
-      this.#syncedIndex >= this.#log.lastIndex;
-    if (isSynced) return;
-    await this.#saveEntries(fresh);
-    const last = entries.at(-1);
-    // A later leader may have replaced the entry while it was being synced.
-    if (last === undefined || this.#log.findTerm(last.index) !== last.term) {
-      return;
-    }
-    this.#syncedIndex = Math.max(this.#syncedIndex, last.index);
-  }
-
-  #commitUntil(index: number): void {
-    if (index <= this.#commitIndex) return;
-    this.#commitIndex = index;
-    while (this.#appliedIndex < this.#commitIndex) {
-      const entry = this.#log.get(this.#appliedIndex + 1);
-      if (entry === undefined) break;
-      this.#appliedIndex = entry.index;
-      this.#applyEntry(entry);
-    }
-    void this.#snapshotIfDue();
-  }
-
-  #applyEntry(entry: LogEntry): void {
-    let result: unknown;
-    if (entry.kind === ENTRY_KINDS.COMMAND) {
-      result = this.#options.stateMachine.apply(
-        decode(entry.payload),
-        entry.index,
-      );
-    }
-    const proposal = this.#proposals.get(entry.index);
-    if (proposal === undefined) return;
-    this.#proposals.delete(entry.index);
-    if (proposal.term === entry.term) {
-      proposal.done.resolve(Ok({ index: entry.index, result }));
-    } else proposal.done.resolve(this.#refuse());
-  }
-
-  async #snapshotIfDue(): Promise<void> {
-    const due = this.#appliedIndex - this.#log.baseIndex >=
-      this.#options.timing.snapshotEntries;
-    if (!due || this.#snapshotting) return;
-    this.#snapshotting = true;
-    const lastIndex = this.#appliedIndex;
-    const members = this.#membership.findAt(lastIndex);
-    const state = this.#options.stateMachine.takeSnapshot();
-    const lastTerm = this.#log.findTerm(lastIndex) ?? 0;
-    await this.#options.folder.saveSnapshot({
-      group: this.group,
-      lastIndex,
-      lastTerm,
-      members,
-      state,
-    });
-    this.#log.dropUntil(lastIndex);
-    this.#snapshotting = false;
-  }
-
-  async #installSnapshot(
-    request: SnapshotRequest,
-    state: Buffer,
-  ): Promise<void> {
-    const { lastIndex, lastTerm, members } = request;
-    await this.#options.folder.installSnapshot({
-      group: this.group,
-      lastIndex,
-      lastTerm,
-      members,
-      state,
-    });
-    if (lastIndex <= this.#commitIndex) return;
-    this.#log.reset(lastIndex, lastTerm);
-    this.#membership.reset(lastIndex, members);
-    this.#options.stateMachine.restore(state);
-    this.#syncedIndex = lastIndex;
-    this.#commitIndex = lastIndex;
-    this.#appliedIndex = lastIndex;
-    this.#options.logger.info("Snapshot installed", {
-      group: this.group,
-      lastIndex,
-    });
-  }
-
   #findSuccessor(leadership: Leadership): Member | undefined {
-    for (const voter of this.#membership.voters) {
+    for (const voter of this.#store.membership.voters) {
       const peer = leadership.findPeer(voter);
-      if (peer !== undefined && peer.matchIndex >= this.#log.lastIndex) {
+      if (peer !== undefined && peer.matchIndex >= this.#store.log.lastIndex) {
         return voter;
       }
     }
@@ -629,7 +470,7 @@
       term: this.#term,
       from: this.#options.identity,
       toIncarnation: successor.incarnation,
-      lastIndex: this.#log.lastIndex,
+      lastIndex: this.#store.log.lastIndex,
     };
     await this.#options.findPeer(successor).call(
       "consensus.handover",
--- a/packages/consensus/src/mocks/test_cluster.ts
+++ b/packages/consensus/src/mocks/test_cluster.ts
@@ -17,7 +17,8 @@
   PeerLinks,
   PeerServer,
 } from "@mallowlift/transport";
-import type { Applied, ReplicatedGroup } from "../group/replicated_group.ts";
+import type { Applied } from "../group/applier.ts";
+import type { ReplicatedGroup } from "../group/replicated_group.ts";
 import type { StateMachine } from "../group/state_machine.ts";
 import { ReplicaGroups } from "../replica_groups.ts";
 
--- a/packages/consensus/src/mod.ts
+++ b/packages/consensus/src/mod.ts
@@ -6,6 +6,8 @@
 export * from "./storage/snapshot_store.ts";
 export * from "./storage/data_folder.ts";
 export * from "./group/state_machine.ts";
+export * from "./group/applier.ts";
+export * from "./group/entry_store.ts";
 export * from "./group/group_log.ts";
 export * from "./group/group_options.ts";
 export * from "./group/membership.ts";
--- a/packages/consensus/src/replica_groups_test.ts
+++ b/packages/consensus/src/replica_groups_test.ts
@@ -30,7 +30,7 @@
   t.ok(confirmed?.err);
   await cluster.commit("after", old);
   const outcome = await stale;
-  t.ok(outcome?.err);
+  t.equal(outcome?.err && outcome.val.code.name, "LEADERSHIP_LOST");
   cluster.heal();
   const isDone = () =>
     IDS.every((id) => cluster.readCommands(id).includes("after"));
--- a/packages/core/src/settings/schema.ts
+++ b/packages/core/src/settings/schema.ts
@@ -216,7 +216,7 @@
     reportMilliseconds: numberField(
       "Time between two reports to the replicas.",
       {
-        fallback: 500,
+        fallback: 1_000,
         least: 20,
         most: 60_000,
       },
--- a/packages/entry/src/callers/caller_app.ts
+++ b/packages/entry/src/callers/caller_app.ts
@@ -2,15 +2,14 @@
 
 import type { Request, ResponseToolkit, ServerRoute } from "@hapi/hapi";
 import type { EntryParts } from "../entry_parts.ts";
+import { callModel, callService } from "./call_handlers.ts";
 import {
-  callModel,
-  callService,
   createChild,
   createProgram,
   endProgram,
   readHistory,
   readProgram,
-} from "./caller_handlers.ts";
+} from "./program_handlers.ts";
 
 /** Lists the routes that callers use. */
 export function createCallerRoutes(parts: EntryParts): readonly ServerRoute[] {
--- a/packages/entry/src/entry_role.ts
+++ b/packages/entry/src/entry_role.ts
@@ -3,10 +3,15 @@
 import { performance } from "node:perf_hooks";
 import type { Server } from "@hapi/hapi";
 import { ConfigurationFollower } from "@mallowlift/configuration";
-import type { Child, Logger, Metrics, Settings } from "@mallowlift/core";
+import {
+  type Child,
+  findProgramGroup,
+  type Logger,
+  type Metrics,
+  type Settings,
+} from "@mallowlift/core";
 import { parseAddress, type PeerLinks } from "@mallowlift/transport";
 import { createCallerRoutes } from "./callers/caller_app.ts";
-import { createGroupFinder } from "./callers/caller_handlers.ts";
 import type { EntryParts } from "./entry_parts.ts";
 import { createHttpServer } from "./http/create_server.ts";
 import { OpenStreams } from "./http/event_output.ts";
@@ -62,7 +67,8 @@
       openStreams: this.#openStreams,
       logger,
       metrics,
-      findGroup: createGroupFinder(network.programGroups),
+      findGroup: (programId) =>
+        findProgramGroup(programId, network.programGroups),
       isFresh: () => this.isFresh(),
       isDraining: () => this.#draining,
     };
--- a/packages/entry/src/http/answer.ts
+++ b/packages/entry/src/http/answer.ts
@@ -1,7 +1,7 @@
 /** Turns outcomes into HTTP answers. */
 
 import type { ResponseObject, ResponseToolkit } from "@hapi/hapi";
-import type { CodedError } from "@mallowlift/core";
+import { type CodedError, countRefusal, type Metrics } from "@mallowlift/core";
 
 const MILLISECONDS_PER_SECOND = 1_000;
 
@@ -65,3 +65,13 @@
 ): ResponseObject {
   return toolkit.response(value).code(status);
 }
+
+/** Answers with a refusal of this entry's own, and counts it. */
+export function refuse(
+  parts: { readonly metrics: Metrics },
+  toolkit: ResponseToolkit,
+  error: CodedError,
+): ResponseObject {
+  countRefusal(parts.metrics, "entry", error.code);
+  return answerError(toolkit, error);
+}
--- a/packages/entry/src/operators/operator_handlers.ts
+++ b/packages/entry/src/operators/operator_handlers.ts
@@ -9,9 +9,7 @@
 } from "@mallowlift/configuration";
 import {
   ABORTED,
-  type CodedError,
   type ConfigurationUpdate,
-  countRefusal,
   fail,
   type Outcome,
   type Resource,
@@ -23,7 +21,12 @@
 import Joi from "joi";
 import { Ok } from "ts-results";
 import type { EntryParts } from "../entry_parts.ts";
-import { answerError, answerValue, createErrorBody } from "../http/answer.ts";
+import {
+  answerError,
+  answerValue,
+  createErrorBody,
+  refuse,
+} from "../http/answer.ts";
 import { authenticateOperator } from "../http/authentication.ts";
 import { checkBody } from "../http/check_body.ts";
 import { collectStatus } from "./collect_status.ts";
@@ -286,12 +289,3 @@
 function isNamed(resource: Resource, name: ResourceName): boolean {
   return resource.kind === name.kind && resource.name === name.name;
 }
-
-function refuse(
-  parts: EntryParts,
-  toolkit: ResponseToolkit,
-  error: CodedError,
-): ResponseObject {
-  countRefusal(parts.metrics, "entry", error.code);
-  return answerError(toolkit, error);
-}
--- a/packages/mocks/src/engine/engine_stream.ts
+++ b/packages/mocks/src/engine/engine_stream.ts
@@ -38,8 +38,9 @@
 export function composeAnswer(
   messages: readonly ChatMessage[],
   tokens: number,
+  salt = "",
 ): string {
-  const seed = createHash("sha1").update(JSON.stringify(messages)).digest();
+  const seed = createSeed(messages, salt);
   let text = "";
   for (let position = 0; position < tokens; position++) {
     text += composeWord(seed, position);
@@ -47,6 +48,14 @@
   return text;
 }
 
+/** Engines with different salts answer the same prompt differently. */
+function createSeed(
+  messages: readonly ChatMessage[],
+  salt: string,
+): Uint8Array {
+  return createHash("sha1").update(salt + JSON.stringify(messages)).digest();
+}
+
 function composeWord(seed: Uint8Array, position: number): string {
   const byte = seed[position % seed.length] ?? 0;
   const word = WORDS[(byte + position) % WORDS.length] ?? "";
@@ -69,11 +78,10 @@
   endedAt = Infinity;
   onGrowth: (() => void) | undefined;
 
-  constructor(request: GenerationRequest) {
+  constructor(request: GenerationRequest, salt: string) {
     this.request = request;
-    this.#seed = createHash("sha1").update(JSON.stringify(request.messages))
-      .digest();
-    this.#answer = composeAnswer(request.messages, request.max_tokens);
+    this.#seed = createSeed(request.messages, salt);
+    this.#answer = composeAnswer(request.messages, request.max_tokens, salt);
     this.tokens = request.continue_text.split(" ").length - 1;
   }
 
--- a/packages/mocks/src/engine/fake_engine.ts
+++ b/packages/mocks/src/engine/fake_engine.ts
@@ -10,7 +10,7 @@
 } from "@hapi/hapi";
 import { ABORTED, sleep } from "@mallowlift/core";
 import { Generation, type GenerationRequest } from "./engine_stream.ts";
-import { PrefixCache } from "./prefix_cache.ts";
+import { type ExportedPrefix, PrefixCache } from "./prefix_cache.ts";
 
 const PREFILL_TOKENS_PER_STEP = 512;
 const KEEP_MILLISECONDS = 10_000;
@@ -31,6 +31,8 @@
   readonly eventLagMilliseconds: number;
   /** Every so many cache events are left out; 0 for none. */
   readonly eventGap: number;
+  /** Makes this engine's answers differ from those of others. */
+  readonly salt: string;
 }
 
 /** Behaviour of a fake engine unless said otherwise. */
@@ -43,6 +45,7 @@
   loadLagMilliseconds: 0,
   eventLagMilliseconds: 0,
   eventGap: 0,
+  salt: "",
 };
 
 /** Faults that a test can switch on. */
@@ -195,6 +198,18 @@
         handler: (request: Request) =>
           this.#release(String(request.params.session)),
       },
+      {
+        method: "GET",
+        path: "/v1/cache/sessions/{session}",
+        handler: (request: Request) => ({
+          prefixes: this.#cache.exportSession(String(request.params.session)),
+        }),
+      },
+      {
+        method: "PUT",
+        path: "/v1/cache/sessions/{session}",
+        handler: (request: Request) => this.#importSession(request),
+      },
       {
         method: "GET",
         path: "/v1/state",
@@ -216,7 +231,7 @@
         HTTP_NOT_FOUND,
       );
     }
-    const generation = new Generation(body);
+    const generation = new Generation(body, this.#options.salt);
     this.#generations.set(body.id, generation);
     this.#waiting.push(generation);
     this.generations++;
@@ -374,6 +389,8 @@
       step_milliseconds: this.#options.stepMilliseconds,
       running: sample?.running ?? 0,
       waiting: sample?.waiting ?? 0,
+      prompt_tokens: this.promptTokens,
+      cached_tokens: this.cachedTokens,
     };
   }
 
@@ -390,6 +407,14 @@
     return {};
   }
 
+  #importSession(request: Request): object {
+    const { prefixes } = request.payload as {
+      readonly prefixes: readonly ExportedPrefix[];
+    };
+    this.#cache.importSession(String(request.params.session), prefixes);
+    return {};
+  }
+
   #takeOrder(request: Request, toolkit: ResponseToolkit): ResponseObject {
     const order = request.payload as EngineOrderBody;
     if (
--- a/packages/mocks/src/engine/prefix_cache.ts
+++ b/packages/mocks/src/engine/prefix_cache.ts
@@ -15,6 +15,13 @@
   usedAt: number;
 }
 
+/** One cached message, as engines hand it to each other. */
+export interface ExportedPrefix {
+  readonly hash: string;
+  readonly parent: string;
+  readonly tokens: number;
+}
+
 /** How much of a prompt was found. */
 export interface CacheLookup {
   readonly promptTokens: number;
@@ -71,6 +78,21 @@
     return { promptTokens, cachedTokens };
   }
 
+  /** Returns what a session holds, parents before children. */
+  exportSession(session: string): readonly ExportedPrefix[] {
+    const exported: ExportedPrefix[] = [];
+    for (const { hash, parent, tokens, sessions } of this.#nodes.values()) {
+      if (sessions.has(session)) exported.push({ hash, parent, tokens });
+    }
+    return exported;
+  }
+
+  /** Takes over what another engine has exported. */
+  importSession(session: string, exported: readonly ExportedPrefix[]): void {
+    for (const prefix of exported) this.#keep({ ...prefix, session });
+    this.#evict();
+  }
+
   /** Frees what only this session holds. */
   release(session: string): void {
     for (const node of [...this.#nodes.values()]) {
--- a/packages/programs/src/program_state_test.ts
+++ b/packages/programs/src/program_state_test.ts
@@ -69,55 +69,76 @@
   }),
 );
 
-const key = {
-  now: fc.nat(1_000),
-  programId: fc.constantFrom(...IDS),
-  requestId: fc.constantFrom(...REQUESTS),
-};
 const target = fc.constant(TARGET);
 const completionTokens = fc.nat(500);
 
-const command: fc.Arbitrary<ProgramCommand> = fc.oneof(
-  fc.record({
-    type: fc.constant("accept_call" as const),
-    ...key,
-    outfit: fc.constantFrom("north", "south"),
-    body,
-    openLimit: fc.constant(2),
-    target: fc.option(target, { nil: undefined }),
-  }),
-  fc.record({
-    type: fc.constant("dispatch_call" as const),
-    ...key,
-    attempt: fc.integer({ min: 1, max: 3 }),
-    target,
-    previousNeverRan: fc.boolean(),
-  }),
-  fc.record({
-    type: fc.constant("end_call" as const),
-    ...key,
-    attempt: fc.integer({ min: 1, max: 3 }),
-    end: fc.record({
-      code: fc.constant("OK"),
-      answer: completionTokens.map((tokens): Answer => ({
-        text: "t",
-        finish: "length",
-        usage: { ...NO_USAGE, completionTokens: tokens },
-      })),
+interface Names {
+  readonly programs: readonly string[];
+  readonly requests: readonly string[];
+  readonly outfits: readonly string[];
+}
+
+/** Few names make the commands meet; many let them cross. */
+function createCommands(names: Names): fc.Arbitrary<ProgramCommand> {
+  const key = {
+    now: fc.nat(1_000),
+    programId: fc.constantFrom(...names.programs),
+    requestId: fc.constantFrom(...names.requests),
+  };
+  return fc.oneof(
+    fc.record({
+      type: fc.constant("accept_call" as const),
+      ...key,
+      outfit: fc.constantFrom(...names.outfits),
+      body,
+      openLimit: fc.constant(2),
+      target: fc.option(target, { nil: undefined }),
     }),
-  }),
-  fc.record({
-    type: fc.constant("withdraw_call" as const),
-    ...key,
-    attempt: fc.integer({ min: 0, max: 3 }),
-  }),
-  fc.record({
-    type: fc.constant("end_program" as const),
-    now: key.now,
-    programId: key.programId,
-    reason: fc.constant(END_REASONS.CALLER),
-  }),
-);
+    fc.record({
+      type: fc.constant("dispatch_call" as const),
+      ...key,
+      attempt: fc.integer({ min: 1, max: 3 }),
+      target,
+      previousNeverRan: fc.boolean(),
+    }),
+    fc.record({
+      type: fc.constant("end_call" as const),
+      ...key,
+      attempt: fc.integer({ min: 1, max: 3 }),
+      end: fc.record({
+        code: fc.constant("OK"),
+        answer: completionTokens.map((tokens): Answer => ({
+          text: "t",
+          finish: "length",
+          usage: { ...NO_USAGE, completionTokens: tokens },
+        })),
+      }),
+    }),
+    fc.record({
+      type: fc.constant("withdraw_call" as const),
+      ...key,
+      attempt: fc.integer({ min: 0, max: 3 }),
+    }),
+    fc.record({
+      type: fc.constant("end_program" as const),
+      now: key.now,
+      programId: key.programId,
+      reason: fc.constant(END_REASONS.CALLER),
+    }),
+  );
+}
+
+const command = createCommands({
+  programs: IDS,
+  requests: REQUESTS,
+  outfits: ["north", "south"],
+});
+
+const meetingCommand = createCommands({
+  programs: ["p1"],
+  requests: ["r1", "r2"],
+  outfits: ["north"],
+});
 
 function listPrograms(state: ProgramState): readonly ProgramRecord[] {
   return [...state.programs];
@@ -158,9 +179,14 @@
   });
 }
 
+const commandLists = fc.oneof(
+  fc.array(command, { maxLength: 60, size: "max" }),
+  fc.array(meetingCommand, { maxLength: 60, size: "max" }),
+);
+
 test("budgets, order and digests hold after any commands", (t) => {
   fc.assert(
-    fc.property(fc.array(command, { maxLength: 60 }), (commands) => {
+    fc.property(commandLists, (commands) => {
       const state = createBase();
       for (const next of commands) {
         state.apply(next);
@@ -177,7 +203,7 @@
 
 test("a call that may not repeat is never dispatched again unless it never ran", (t) => {
   fc.assert(
-    fc.property(fc.array(command, { maxLength: 60 }), (commands) => {
+    fc.property(commandLists, (commands) => {
       const state = createBase();
       for (const next of commands) {
         const call = next.type === "dispatch_call"
--- a/packages/replica/src/calls/call_runner.ts
+++ b/packages/replica/src/calls/call_runner.ts
@@ -24,7 +24,7 @@
   type ProgramRecord,
 } from "@mallowlift/programs";
 import { Ok } from "ts-results";
-import type { Placement } from "../sidecars/placement.ts";
+import type { CallPlacement } from "../sidecars/placement.ts";
 import type { AttemptEnd } from "./attempt_end.ts";
 import { CallListeners } from "./call_listeners.ts";
 import {
@@ -43,7 +43,7 @@
   readonly group: number;
   readonly term: number;
   readonly maxAttempts: number;
-  readonly placement: Placement;
+  readonly placement: CallPlacement;
   readonly logger: Logger;
   readonly metrics: Metrics;
   /** Aborts when this replica no longer leads the group. */
@@ -73,6 +73,8 @@
   #told: string;
   #early: EarlyAttempt | undefined;
   #avoid: string[] = [];
+  /** True once an attempt may have run, so that no refusal may deny it. */
+  #mayHaveRun = false;
 
   constructor(owner: CallOwner, start: CallStart) {
     if (start.call.body === undefined) throw new Error("The call has ended");
@@ -124,6 +126,8 @@
     let end: AttemptEnd | undefined;
     let previousNeverRan = true;
     if (this.#call.state === CALL_STATES.DISPATCHED) {
+      // Nobody here knows how the attempts before the recorded one ended.
+      this.#mayHaveRun = this.#call.attempt > 1 && isIdempotent(this.#body);
       end = await this.#finishAttempt(dispatch);
     }
     for (;;) {
@@ -137,6 +141,7 @@
         return await this.#record(RESULT_CODES.OK.name, end.answer);
       }
       if (this.#cancelled.signal.aborted) return await this.#recordCancelled();
+      if (end.kind === "lost") this.#mayHaveRun = true;
       const mayRetry = end.kind === "never_ran" || isIdempotent(this.#body);
       if (!mayRetry) {
         return await this.#record(RESULT_CODES.OUTCOME_UNKNOWN.name, NO_ANSWER);
@@ -244,12 +249,9 @@
     if (end.kind === "answered") {
       return await this.#record(RESULT_CODES.OK.name, end.answer);
     }
-    const code = end.kind === "never_ran"
-      ? RESULT_CODES.ATTEMPTS_EXHAUSTED
-      : RESULT_CODES.RETRIES_EXHAUSTED;
     const last = end.error.code.name;
     return await this.#giveUp({
-      code,
+      code: RESULT_CODES.ATTEMPTS_EXHAUSTED,
       message: `The last of ${this.#call.attempt} attempts ended with ${last}`,
       retryAfterMilliseconds: end.error.retryAfterMilliseconds ?? 1_000,
     });
@@ -266,7 +268,9 @@
       attempt: this.#call.attempt,
     });
     if (withdrawn.err) return withdrawn;
-    return fail(error.code, error.message, error.retryAfterMilliseconds);
+    const deniesRun = error.code.notRun && this.#mayHaveRun;
+    const code = deniesRun ? RESULT_CODES.RETRIES_EXHAUSTED : error.code;
+    return fail(code, error.message, error.retryAfterMilliseconds);
   }
 
   #planAttempt(): AttemptPlan {
@@ -289,7 +293,7 @@
 
   #refuseAsFollower() {
     return fail(
-      RESULT_CODES.NOT_LEADER,
+      RESULT_CODES.LEADERSHIP_LOST,
       "Another replica owns the program now",
     );
   }
--- a/packages/replica/src/calls/dispatch.ts
+++ b/packages/replica/src/calls/dispatch.ts
@@ -8,7 +8,7 @@
   type RunCallEvent,
 } from "@mallowlift/core";
 import type { AttemptTarget, ProgramRecord } from "@mallowlift/programs";
-import type { Placement } from "../sidecars/placement.ts";
+import type { CallPlacement } from "../sidecars/placement.ts";
 import type { AttemptEnd } from "./attempt_end.ts";
 import { buildPrompt } from "./build_prompt.ts";
 import { type AttemptCall, cancelAttempt, sendAttempt } from "./run_attempt.ts";
@@ -21,7 +21,7 @@
 export interface AttemptPlan {
   readonly group: number;
   readonly term: number;
-  readonly placement: Placement;
+  readonly placement: CallPlacement;
   readonly program: ProgramRecord;
   readonly requestId: string;
   readonly body: CallBody;
--- a/packages/replica/src/programs/program_owner.ts
+++ b/packages/replica/src/programs/program_owner.ts
@@ -4,14 +4,11 @@
   ABORTED,
   type AliveReply,
   type AliveRequest,
-  type CodedError,
   type CreateProgramRequest,
-  END_REASONS,
   type EndProgramRequest,
   type EndReason,
   fail,
   type HistoryPage,
-  isIdempotent,
   type Logger,
   type Metrics,
   type Outcome,
@@ -22,7 +19,6 @@
   type RunCallEvent,
   type RunCallReply,
   type RunCallRequest,
-  sleep,
   type ToldText,
 } from "@mallowlift/core";
 import type {
@@ -30,29 +26,26 @@
   ReplicatedGroup,
 } from "@mallowlift/consensus";
 import {
-  type AttemptTarget,
   CALL_STATES,
   type CallRecord,
-  checkNewCall,
-  hasTreeEnded,
   type ProgramCommand,
   type ProgramRecord,
   type ProgramState,
   viewProgram,
 } from "@mallowlift/programs";
 import type { CallContext } from "@mallowlift/transport";
-import { Err, Ok } from "ts-results";
+import { Ok } from "ts-results";
+import { CallAcceptor } from "../calls/call_acceptor.ts";
 import {
   type CallOwner,
   CallRunner,
   type CallStart,
   describeRecorded,
 } from "../calls/call_runner.ts";
-import { describeEvent, EarlyAttempt } from "../calls/dispatch.ts";
 import type { Placement } from "../sidecars/placement.ts";
 import type { SidecarDirectory } from "../sidecars/sidecar_directory.ts";
+import { sweepPrograms } from "./program_sweeper.ts";
 
-const SWEEP_MILLISECONDS = 500;
 const RELEASE_MILLISECONDS = 1_000;
 
 /** Limits that an owner keeps. */
@@ -78,14 +71,23 @@
 export class ProgramOwner implements LeadershipListener {
   readonly #options: ProgramOwnerOptions;
   readonly #runners = new Map<string, CallRunner>();
-  /** Acceptances that are being committed, by program. */
-  readonly #accepting = new Map<string, number>();
+  readonly #acceptor: CallAcceptor;
   #leading = new AbortController();
   #term = 0;
 
   constructor(options: ProgramOwnerOptions) {
     this.#options = options;
     this.#leading.abort(ABORTED);
+    const { group, state, placement, limits } = options;
+    this.#acceptor = new CallAcceptor({
+      group,
+      state,
+      placement,
+      callsPerProgram: limits.callsPerProgram,
+      getTerm: () => this.#getGroup()?.isLeading ? this.#term : undefined,
+      propose: (command) => this.#propose<CallRecord>(command),
+      confirm: () => this.#confirm(),
+    });
   }
 
   /** Calls that are under way. */
@@ -109,7 +111,15 @@
         this.#startRunner({ program, call, told: "" }, "recover");
       }
     }
-    void this.#sweep(this.#leading.signal);
+    const { state, limits } = this.#options;
+    void sweepPrograms({
+      state,
+      forgetMilliseconds: limits.forgetMilliseconds,
+      signal: this.#leading.signal,
+      end: (program, reason) => this.#end(program, reason),
+      forget: ({ programId }, now) =>
+        this.#propose({ type: "forget_program", now, programId }),
+    });
   }
 
   /** Leaves all calls to the next owner. */
@@ -175,23 +185,19 @@
     request: RunCallRequest,
     context: CallContext<RunCallEvent>,
   ): Promise<Outcome<RunCallReply>> {
-    const { programId, told } = request;
-    const early = this.#startEarly(request, context);
-    const accepted = await this.#accept(request, early?.plan.target);
-    const call = accepted.ok ? accepted.val : undefined;
-    if (call?.state !== CALL_STATES.DISPATCHED) early?.cancel();
+    const accepted = await this.#acceptor.accept(
+      request,
+      (event) => context.sendChunk(event),
+    );
     if (accepted.err) return accepted;
-    const program = this.#options.state.find(programId);
-    if (program === undefined || call === undefined) {
-      return fail(RESULT_CODES.INTERNAL, "The program is gone");
-    }
+    const { program, call, early } = accepted.val;
     if (call.state === CALL_STATES.ENDED) {
       return describeRecorded(program, call);
     }
     if (this.#leading.signal.aborted) {
       return fail(RESULT_CODES.LEADERSHIP_LOST, "Another replica owns it now");
     }
-    const start = { program, call, told, early };
+    const start = { program, call, told: request.told, early };
     const runner = this.#startRunner(start, "send");
     runner.listeners.add({
       stream: request.stream,
@@ -208,87 +214,6 @@
     return Ok({});
   }
 
-  /** Sends an idempotent call that nothing stands before, without waiting. */
-  #startEarly(
-    request: RunCallRequest,
-    context: CallContext<RunCallEvent>,
-  ): EarlyAttempt | undefined {
-    const { state, placement, limits, group } = this.#options;
-    const { programId, requestId, body, told } = request;
-    const program = state.findOwned(programId, request.outfit);
-    if (program === undefined || !isIdempotent(body)) return undefined;
-    if (this.#getGroup()?.isLeading !== true) return undefined;
-    const isIdle = program.openCalls.length === 0 &&
-      !this.#accepting.has(programId);
-    if (!isIdle || program.calls.has(requestId)) return undefined;
-    const command = {
-      now: Date.now(),
-      openLimit: limits.callsPerProgram,
-      body,
-    };
-    const find = (id: string) => state.find(id);
-    if (checkNewCall(program, command, find).err) return undefined;
-    const target = placement.place(program, body, []);
-    if (target.err) return undefined;
-    const early = new EarlyAttempt({
-      group,
-      term: this.#term,
-      placement,
-      program,
-      requestId,
-      body,
-      attempt: 1,
-      target: target.val,
-      told,
-    });
-    context.sendChunk(describeEvent(early.plan, "dispatched"));
-    return early;
-  }
-
-  async #accept(
-    request: RunCallRequest,
-    earlyTarget: AttemptTarget | undefined,
-  ): Promise<Outcome<CallRecord>> {
-    const target = earlyTarget ?? await this.#findFirstTarget(request);
-    if (target instanceof Err) return target;
-    const { programId, outfit, requestId, body } = request;
-    const accepting = this.#accepting.get(programId) ?? 0;
-    this.#accepting.set(programId, accepting + 1);
-    const accepted = await this.#propose<CallRecord>({
-      type: "accept_call",
-      now: Date.now(),
-      programId,
-      outfit,
-      requestId,
-      body,
-      openLimit: this.#options.limits.callsPerProgram,
-      ...target === undefined ? {} : { target },
-    });
-    const others = (this.#accepting.get(programId) ?? 1) - 1;
-    if (others === 0) this.#accepting.delete(programId);
-    else this.#accepting.set(programId, others);
-    return accepted;
-  }
-
-  /**
-   * Places a new call before it is accepted, so that one commit does for
-   * both; a call that no upstream serves is refused without any trace.
-   */
-  async #findFirstTarget(
-    request: RunCallRequest,
-  ): Promise<AttemptTarget | undefined | Err<CodedError>> {
-    const { state, placement } = this.#options;
-    const program = state.findOwned(request.programId, request.outfit);
-    if (program === undefined) return undefined;
-    if (program.calls.has(request.requestId)) return undefined;
-    const target = placement.place(program, request.body, []);
-    if (target.ok) {
-      return program.openCalls.length === 0 ? target.val : undefined;
-    }
-    const confirmed = await this.#confirm();
-    return confirmed.err ? confirmed : target;
-  }
-
   #startRunner(start: CallStart, dispatch: "send" | "recover"): CallRunner {
     const { program, call } = start;
     const key = formatCallKey({
@@ -413,76 +338,6 @@
     }
     directory.cache.forgetProgram(program.programId);
   }
-
-  /** Ends programs whose lease or deadline has run out, and forgets old ones. */
-  async #sweep(signal: AbortSignal): Promise<void> {
-    while (!signal.aborted) {
-      await sleep(SWEEP_MILLISECONDS, signal);
-      for (const program of [...this.#options.state.programs]) {
-        if (signal.aborted) return;
-        await this.#sweepProgram(program, Date.now());
-      }
-    }
-  }
-
-  async #sweepProgram(program: ProgramRecord, now: number): Promise<void> {
-    if (program.ended === undefined) {
-      const reason = findEndReason(program, this.#options.state, now);
-      if (reason !== undefined) await this.#end(program, reason);
-      return;
-    }
-    const isOld =
-      now - program.endedAt > this.#options.limits.forgetMilliseconds;
-    const isRoot = program.spec.parent === undefined;
-    const find = (programId: string) => this.#options.state.find(programId);
-    if (!isOld || !isRoot || !hasTreeEnded(program, find)) return;
-    await this.#propose({
-      type: "forget_program",
-      now,
-      programId: program.programId,
-    });
-  }
-}
-
-/** Returns why a program should end now, if it should. */
-export function findEndReason(
-  program: ProgramRecord,
-  state: Pick<ProgramState, "find">,
-  now: number,
-): EndReason | undefined {
-  if (now >= program.deadlineAt) return END_REASONS.DEADLINE;
-  if (isActive(program, state)) return undefined;
-  const idle = now - findLastActivity(program, state);
-  return idle > program.spec.leaseMilliseconds ? END_REASONS.LEASE : undefined;
-}
-
-function isActive(
-  program: ProgramRecord,
-  state: Pick<ProgramState, "find">,
-): boolean {
-  if (program.openCalls.length > 0) return true;
-  for (const childId of program.children) {
-    const child = state.find(childId);
-    if (
-      child !== undefined && child.ended === undefined && isActive(child, state)
-    ) return true;
-  }
-  return false;
-}
-
-/** A program whose children work is not idle. */
-function findLastActivity(
-  program: ProgramRecord,
-  state: Pick<ProgramState, "find">,
-): number {
-  let last = program.lastActivityAt;
-  for (const childId of program.children) {
-    const child = state.find(childId);
-    if (child !== undefined) {
-      last = Math.max(last, findLastActivity(child, state));
-    }
-  }
-  return last;
 }
 
 function formatCallKey(
--- a/packages/replica/src/sidecars/cache_records.ts
+++ b/packages/replica/src/sidecars/cache_records.ts
@@ -1,5 +1,7 @@
 /** Own records of which engine has how much of a program's prompt cached. */
 
+const KEPT_PROGRAMS = 100_000;
+
 interface CachedProgram {
   readonly sidecarId: string;
   readonly tokens: number;
@@ -14,8 +16,9 @@
     const known = this.#programs.get(programId) ?? [];
     const others = known.filter((cached) => cached.sidecarId !== sidecarId);
     if (tokens > 0) others.push({ sidecarId, tokens });
-    if (others.length === 0) this.#programs.delete(programId);
-    else this.#programs.set(programId, others);
+    this.#programs.delete(programId);
+    if (others.length > 0) this.#programs.set(programId, others);
+    if (this.#programs.size > KEPT_PROGRAMS) this.#forgetOldest();
   }
 
   /** Tokens of a program that an engine probably has cached. */
@@ -36,6 +39,14 @@
     this.#programs.delete(programId);
   }
 
+  /** Late events may name programs that are gone, so there is a limit. */
+  #forgetOldest(): void {
+    for (const oldest of this.#programs.keys()) {
+      this.#programs.delete(oldest);
+      return;
+    }
+  }
+
   /** Forgets a sidecar that has restarted. */
   forgetSidecar(sidecarId: string): void {
     for (const programId of [...this.#programs.keys()]) {
--- a/packages/replica/src/sidecars/placement.ts
+++ b/packages/replica/src/sidecars/placement.ts
@@ -81,6 +81,12 @@
   }
 }
 
+/** What the task of a call uses of the placement. */
+export type CallPlacement = Pick<
+  Placement,
+  "place" | "noteSent" | "noteAnswered" | "findCaller"
+>;
+
 function describeCall(program: ProgramRecord, body: CallBody): PlacementCall {
   return {
     programId: program.programId,
--- a/packages/sidecar/src/attempts/attempt_table_test.ts
+++ b/packages/sidecar/src/attempts/attempt_table_test.ts
@@ -51,6 +51,10 @@
     return Promise.resolve(undefined);
   }
 
+  readCacheChanges() {
+    return Promise.resolve([]);
+  }
+
   listSessions() {
     return Promise.resolve([]);
   }
--- a/packages/sidecar/src/sidecar_role.ts
+++ b/packages/sidecar/src/sidecar_role.ts
@@ -16,6 +16,7 @@
 import { AttemptTable } from "./attempts/attempt_table.ts";
 import { HttpEngineOrders } from "./orders/engine_orders.ts";
 import { OrderKeeper } from "./orders/order_keeper.ts";
+import { RecentChanges } from "./reports/recent_changes.ts";
 import { Reporter } from "./reports/reporter.ts";
 import { SessionKeeper } from "./reports/session_keeper.ts";
 import { createSidecarHandlers } from "./sidecar_app.ts";
@@ -26,8 +27,13 @@
   UpstreamLoad,
 } from "./upstream/upstream_client.ts";
 
-const LOOK_MILLISECONDS = 250;
+/** A change of the configuration wakes the look at once. */
+const LOOK_MILLISECONDS = 1_000;
+const LAST_ANSWERS_MILLISECONDS = 250;
+const DRAIN_LOOK_MILLISECONDS = 20;
 const SESSION_MILLISECONDS = 3_000;
+/** Long enough that each change is in several reports to each replica. */
+const CHANGES_MILLISECONDS = 4_000;
 const HOLD_MILLISECONDS = 1_000;
 
 /** What the role needs. */
@@ -54,6 +60,7 @@
   readonly #sessions: SessionKeeper;
   readonly #orders: OrderKeeper | undefined;
   readonly #stopped = new AbortController();
+  readonly #cacheChanges = new RecentChanges(CHANGES_MILLISECONDS);
   #load: UpstreamLoad | undefined;
   #stopping = false;
 
@@ -128,10 +135,10 @@
     const deadline = Date.now() +
       this.#options.settings.daemon.stopMilliseconds;
     while (this.#table.openCount > 0 && Date.now() < deadline) {
-      await sleep(LOOK_MILLISECONDS / 5);
+      await sleep(DRAIN_LOOK_MILLISECONDS);
     }
     // Owners and entries read the last answers over their open connections.
-    await sleep(LOOK_MILLISECONDS);
+    await sleep(LAST_ANSWERS_MILLISECONDS);
     this.#stopped.abort(ABORTED);
     this.#orders?.stop();
     this.#sessions.stop();
@@ -148,7 +155,17 @@
       this.#table.setDraining(this.#stopping || resource?.spec.drain === true);
       if (wasDraining !== this.#table.isDraining) this.#reporter.reportNow();
       this.#table.forgetOld(Date.now());
-      await sleep(LOOK_MILLISECONDS, this.#stopped.signal);
+      await this.#readCacheChanges();
+      await this.#follower.waitForChange(LOOK_MILLISECONDS);
+    }
+  }
+
+  async #readCacheChanges(): Promise<void> {
+    try {
+      const changes = await this.#upstream.readCacheChanges();
+      this.#cacheChanges.add(changes, Date.now());
+    } catch {
+      this.#logger.debug("Engine did not list its cache events");
     }
   }
 
@@ -169,7 +186,7 @@
       slots: sidecar.slots,
       queueLimit: sidecar.queueLimit,
       stepMilliseconds: this.#load?.stepMilliseconds ?? 1,
-      cacheChanges: [],
+      cacheChanges: this.#cacheChanges.list(Date.now()),
       revision: this.#follower.view.revision,
     };
   }
--- a/packages/sidecar/src/upstream/engine_client.ts
+++ b/packages/sidecar/src/upstream/engine_client.ts
@@ -4,6 +4,7 @@
 import type { Buffer } from "node:buffer";
 import {
   type Answer,
+  type CacheChange,
   createDeferred,
   fail,
   type Logger,
@@ -38,10 +39,17 @@
   readonly metrics: Metrics;
 }
 
+interface EngineCacheEvent {
+  readonly sequence: number;
+  readonly session: string;
+  readonly tokens: number;
+}
+
 /** Runs model calls on one engine. */
 export class EngineClient implements UpstreamClient {
   readonly #options: EngineClientOptions;
   readonly #http: HttpClient;
+  #lastEvent = 0;
 
   constructor(options: EngineClientOptions) {
     this.#options = options;
@@ -95,6 +103,20 @@
     }
   }
 
+  /** Reads the cache events since the last reading; there may be gaps. */
+  async readCacheChanges(): Promise<readonly CacheChange[]> {
+    const path = `/v1/cache/events?after=${this.#lastEvent}`;
+    const answer = await this.#control("GET", path);
+    const { events } = JSON.parse(answer.body) as {
+      readonly events: readonly EngineCacheEvent[];
+    };
+    this.#lastEvent = events.at(-1)?.sequence ?? this.#lastEvent;
+    return events.map(({ session, tokens }) => ({
+      programId: session,
+      tokens,
+    }));
+  }
+
   /** Lists programs with cached tokens. */
   async listSessions(): Promise<readonly string[]> {
     const answer = await this.#control("GET", "/v1/cache/sessions");
--- a/packages/sidecar/src/upstream/service_client.ts
+++ b/packages/sidecar/src/upstream/service_client.ts
@@ -2,6 +2,7 @@
 
 import {
   type Answer,
+  type CacheChange,
   fail,
   NO_USAGE,
   type Outcome,
@@ -73,6 +74,11 @@
     }
   }
 
+  /** A service keeps no memory for programs. */
+  readCacheChanges(): Promise<readonly CacheChange[]> {
+    return Promise.resolve([]);
+  }
+
   /** A service keeps no memory for programs. */
   listSessions(): Promise<readonly string[]> {
     return Promise.resolve([]);
--- a/packages/sidecar/src/upstream/upstream_client.ts
+++ b/packages/sidecar/src/upstream/upstream_client.ts
@@ -1,6 +1,11 @@
 /** How a sidecar speaks to its upstream. */
 
-import type { Answer, DispatchRequest, Outcome } from "@mallowlift/core";
+import type {
+  Answer,
+  CacheChange,
+  DispatchRequest,
+  Outcome,
+} from "@mallowlift/core";
 
 /** What an upstream holds for programs. */
 export interface UpstreamLoad {
@@ -28,6 +33,8 @@
   run(run: UpstreamRun): Promise<Outcome<Answer>>;
   /** Reads the load; undefined if the upstream does not answer. */
   readLoad(): Promise<UpstreamLoad | undefined>;
+  /** Cached tokens that changed since the last reading, as far as is known. */
+  readCacheChanges(): Promise<readonly CacheChange[]>;
   /** Programs that the upstream keeps memory for. */
   listSessions(): Promise<readonly string[]>;
   /** Frees what the upstream keeps for a program. */
