Let a replica that has joined say that the site is founded

A replica answered "founded" from what its folder held when it was opened, so one that had joined since its start denied the site; the next empty replica waited for ever, and the one with the least id would have founded an empty site. Ruled out: the join itself and the keeper of members. Change: who has decided to found or join knows the site. Test: replica_groups_test loses all disks in turn, twice; failed before (replica r3 never voted), passes now.

--- a/packages/consensus/src/replica_groups.ts
+++ b/packages/consensus/src/replica_groups.ts
@@ -65,6 +65,8 @@
   readonly #groups = new Map<number, ReplicatedGroup>();
   readonly #stopped = new AbortController();
   #folder: DataFolder | undefined;
+  /** True once this replica knows that the site was founded. */
+  #knowsFounding = false;
 
   constructor(options: ReplicaGroupsOptions) {
     this.#options = options;
@@ -185,6 +187,7 @@
       signal: this.#stopped.signal,
     });
     if (decision.action === "stop") return false;
+    this.#knowsFounding = true;
     logger.info(
       decision.action === "found" ? "Founding the site" : "Joining the site",
     );
@@ -227,7 +230,9 @@
     const snapshot = folder.getStored(group).snapshot;
     return {
       identity: folder.identity,
-      founded: folder.isFounded,
+      // A replica that has joined since its start must say so: an empty one
+      // that finds nobody who knows the site would found it again.
+      founded: folder.isFounded || this.#knowsFounding,
       foundingMembers: snapshot?.lastIndex === 0 ? snapshot.members : [],
     };
   }
--- a/packages/consensus/src/replica_groups_test.ts
+++ b/packages/consensus/src/replica_groups_test.ts
@@ -95,6 +95,25 @@
   await cluster.stop();
 });
 
+test("all disks are lost one after the other, each repaired before the next", async (t) => {
+  const cluster = new TestCluster(t.testdir(), { ids: IDS });
+  await cluster.start();
+  await cluster.commit("first");
+  for (const [round, id] of [...IDS, ...IDS].entries()) {
+    await cluster.crash(id);
+    cluster.loseData(id);
+    await cluster.startNode(id);
+    const isRepaired = () =>
+      cluster.getGroup(id)?.isHealthy(performance.now()) === true;
+    await cluster.waitFor(`replica ${id} votes again`, isRepaired);
+    await cluster.commit(`after ${round}`);
+  }
+  const isDone = () => IDS.every((id) => cluster.readCommands(id).length === 7);
+  await cluster.waitFor("all replicas applied", isDone);
+  for (const id of IDS) t.equal(cluster.readCommands(id)[0], "first");
+  await cluster.stop();
+});
+
 test("a standby takes the place of a voter that stays silent", async (t) => {
   const ids = [...IDS, "s1"];
   const cluster = new TestCluster(t.testdir(), { ids, standbys: ["s1"] });
