Let founders find each other, and count own calls without lag

A founder that had decided but not yet written answered "founded" without naming the founders, so the next one joined as a stranger; the leader knew it already and told it nothing. Ruled out: ports, the disk. Change: the answer carries the founding that was decided; an answer that knows the founders counts before one that does not; a founder that missed the founding learns of the members by an entry. Tests: founding_test and replica_groups_test; the window itself is too short to hit in a test.

--- a/packages/bench/src/policy/bench_policy.ts
+++ b/packages/bench/src/policy/bench_policy.ts
@@ -159,14 +159,14 @@
       slots: SLOTS * engines,
       stepMilliseconds: STEP_MILLISECONDS,
     });
-    const result = await runWorkload(programs, {
+    const { result, ended } = await runWorkload(programs, {
       findClient: (outfit) => outfit === "north" ? north : south,
       stepMilliseconds: STEP_MILLISECONDS,
       endsAt: seconds * 2_000,
     });
     const totals = await readTotals(engineUrls);
     await sleep(RELEASE_MILLISECONDS);
-    const heldAfterEnd = await countHeld(engineUrls);
+    const heldAfterEnd = await countHeld(engineUrls, ended);
     north.close();
     south.close();
     const computed = totals.promptTokens - totals.cachedTokens;
@@ -207,14 +207,17 @@
   return { promptTokens, cachedTokens };
 }
 
-async function countHeld(urls: readonly string[]): Promise<number> {
+async function countHeld(
+  urls: readonly string[],
+  ended: ReadonlySet<string>,
+): Promise<number> {
   let held = 0;
   for (const url of urls) {
     const answer = await Wreck.get(`${url}/v1/cache/sessions`);
     const { sessions } = JSON.parse(String(answer.payload)) as {
       sessions: readonly string[];
     };
-    held += sessions.length;
+    held += sessions.filter((session) => ended.has(session)).length;
   }
   return held;
 }
--- a/packages/bench/src/policy/run_workload.ts
+++ b/packages/bench/src/policy/run_workload.ts
@@ -28,6 +28,12 @@
   readonly firstTimeTokens: number;
 }
 
+/** What a workload measured, and which programs have ended. */
+export interface WorkloadRun {
+  readonly result: WorkloadResult;
+  readonly ended: ReadonlySet<string>;
+}
+
 /** How often a reason was given. */
 export interface RefusalNote {
   readonly reason: string;
@@ -51,6 +57,7 @@
   readonly refusals = new Map<string, number>();
   readonly slowdowns = { north: [] as number[], south: [] as number[] };
   readonly kinds = new Set<number>();
+  readonly ended = new Set<string>();
   finished = 0;
   firstTimeTokens = 0;
 }
@@ -59,7 +66,7 @@
 export async function runWorkload(
   programs: readonly PlannedProgram[],
   targets: WorkloadTargets,
-): Promise<WorkloadResult> {
+): Promise<WorkloadRun> {
   const recorder = new RunRecorder();
   const startedAt = performance.now();
   const isOver = () => performance.now() - startedAt > targets.endsAt;
@@ -73,7 +80,7 @@
   await Promise.race([Promise.all(running), sleep(targets.endsAt + 2_000)]);
   const mean = (values: readonly number[]) =>
     values.reduce((sum, value) => sum + value, 0) / Math.max(1, values.length);
-  return {
+  const result: WorkloadResult = {
     programs: programs.length,
     finished: recorder.finished,
     program: recorder.program.summarize(),
@@ -87,6 +94,7 @@
     fairness: mean(recorder.slowdowns.north) / mean(recorder.slowdowns.south),
     firstTimeTokens: recorder.firstTimeTokens,
   };
+  return { result, ended: recorder.ended };
 }
 
 interface RunParts {
@@ -114,12 +122,13 @@
     const target = call.byChild ? await createChild(client, id, turn) : id;
     const shared = turn === 0 || call.byChild ? program.shared : undefined;
     await makeCall(client, { program: target, turn, call, shared, parts });
-    if (call.byChild) await client.endProgram(target);
+    if (call.byChild) await endChild(client, target, recorder);
     await sleep(call.pauseMilliseconds);
     if (isOver()) return;
   }
   const latency = performance.now() - startedAt;
   await client.endProgram(id);
+  recorder.ended.add(id);
   const slowdown = latency / estimateChain(program, targets.stepMilliseconds);
   recorder.finished++;
   recorder.program.add(latency);
@@ -127,6 +136,15 @@
   recorder.slowdowns[program.outfit].push(slowdown);
 }
 
+async function endChild(
+  client: SiteClient,
+  child: string,
+  recorder: RunRecorder,
+): Promise<void> {
+  await client.endProgram(child);
+  recorder.ended.add(child);
+}
+
 async function createChild(
   client: SiteClient,
   parent: string,
--- a/packages/consensus/src/founding/founding.ts
+++ b/packages/consensus/src/founding/founding.ts
@@ -58,13 +58,14 @@
   options: Pick<FoundingOptions, "self" | "founders">,
 ): FoundingDecision | undefined {
   const { self, founders } = options;
-  for (const { state } of answers) {
-    if (!state.founded) continue;
+  const founded = answers.filter(({ state }) => state.founded);
+  for (const { state } of founded) {
     if (isFounder(state.foundingMembers, self)) {
       return { action: "found", members: state.foundingMembers };
     }
-    return { action: "join", members: [] };
   }
+  // Who has joined later does not know the founders, so all are asked first.
+  if (founded.length > 0) return { action: "join", members: [] };
   const ids = founders.map((founder) => founder.replicaId).sort();
   if (ids[0] !== self.replicaId) return undefined;
   if (answers.length < founders.length - 1) return undefined;
--- a/packages/consensus/src/founding/founding_test.ts
+++ b/packages/consensus/src/founding/founding_test.ts
@@ -61,3 +61,13 @@
   );
   t.end();
 });
+
+test("one answer that knows the founders counts before one that does not", (t) => {
+  const answers = [
+    createAnswer("r2", true),
+    createAnswer("r3", true, ["r1", "r2", "r3"]),
+  ];
+  const options = { self: createSelf("r1"), founders: FOUNDERS };
+  t.equal(decideFromAnswers(answers, options)?.action, "found");
+  t.end();
+});
--- a/packages/consensus/src/mocks/test_cluster.ts
+++ b/packages/consensus/src/mocks/test_cluster.ts
@@ -197,6 +197,27 @@
     }
   }
 
+  /** Sends a join request for a replica, as that replica would. */
+  async askToJoin(
+    id: string,
+    leader: string,
+    knowsItself: boolean,
+  ): Promise<Outcome<unknown>> {
+    const member = this.getGroup(leader)?.membership.members
+      .find((known) => known.replicaId === id);
+    const join = this.#nodes.get(leader)?.groups
+      .createHandlers()["consensus.join"];
+    if (member === undefined || join === undefined) {
+      throw new Error("The replica or the leader is not there");
+    }
+    const context = {
+      peer: id,
+      signal: new AbortController().signal,
+      sendChunk: () => undefined,
+    };
+    return await join({ group: GROUP, member, knowsItself }, context);
+  }
+
   /** Stops everything. */
   async stop(): Promise<void> {
     this.heal();
--- a/packages/consensus/src/replica_groups.ts
+++ b/packages/consensus/src/replica_groups.ts
@@ -18,7 +18,7 @@
 } from "@mallowlift/core";
 import type { HandlerTable, PeerLinks } from "@mallowlift/transport";
 import { Ok } from "ts-results";
-import { decideFounding } from "./founding/founding.ts";
+import { decideFounding, type FoundingDecision } from "./founding/founding.ts";
 import type { GroupTiming } from "./group/group_options.ts";
 import { isSameReplica } from "./group/membership.ts";
 import {
@@ -65,8 +65,8 @@
   readonly #groups = new Map<number, ReplicatedGroup>();
   readonly #stopped = new AbortController();
   #folder: DataFolder | undefined;
-  /** True once this replica knows that the site was founded. */
-  #knowsFounding = false;
+  /** Set once this replica knows that the site was founded, and by whom. */
+  #founding: FoundingDecision | undefined;
 
   constructor(options: ReplicaGroupsOptions) {
     this.#options = options;
@@ -187,7 +187,7 @@
       signal: this.#stopped.signal,
     });
     if (decision.action === "stop") return false;
-    this.#knowsFounding = true;
+    this.#founding = decision;
     logger.info(
       decision.action === "found" ? "Founding the site" : "Joining the site",
     );
@@ -232,8 +232,11 @@
       identity: folder.identity,
       // A replica that has joined since its start must say so: an empty one
       // that finds nobody who knows the site would found it again.
-      founded: folder.isFounded || this.#knowsFounding,
-      foundingMembers: snapshot?.lastIndex === 0 ? snapshot.members : [],
+      founded: folder.isFounded || this.#founding !== undefined,
+      // The decision comes before the folder holds it.
+      foundingMembers: snapshot?.lastIndex === 0
+        ? snapshot.members
+        : this.#founding?.members ?? [],
     };
   }
 
@@ -250,7 +253,7 @@
         const link = this.#options.links.get(replica.address);
         const joined = await link.call(
           "consensus.join",
-          { group: group.group, member: self },
+          { group: group.group, member: self, knowsItself: isMember },
           { timeoutMilliseconds: JOIN_TIMEOUT_MILLISECONDS },
         );
         if (joined.ok) break;
@@ -301,8 +304,11 @@
   }
   const confirmed = await group.confirmLeadership();
   if (confirmed.err) return confirmed;
-  if (group.membership.find(request.member) !== undefined) return Ok({});
-  const members = addLearner(group.membership.members, request.member);
+  const { members: present } = group.membership;
+  const isKnown = group.membership.find(request.member) !== undefined;
+  if (isKnown && request.knowsItself) return Ok({});
+  // A founder that has missed the founding learns of the members by an entry.
+  const members = isKnown ? present : addLearner(present, request.member);
   const changed = await group.changeMembers(members);
   return changed.ok ? Ok({}) : changed;
 }
--- a/packages/consensus/src/replica_groups_test.ts
+++ b/packages/consensus/src/replica_groups_test.ts
@@ -146,3 +146,24 @@
   t.same(cluster.readCommands(next), ["before", "after"]);
   await cluster.stop();
 });
+
+test("a founder that missed the founding is told of the members", async (t) => {
+  const cluster = new TestCluster(t.testdir(), { ids: IDS });
+  await cluster.start();
+  await cluster.commit("before");
+  const leader = await cluster.waitForLeader();
+  const other = IDS.find((id) => id !== leader) ?? "";
+  const before = cluster.getGroup(leader)?.membership.changedAt ?? 0;
+  const answer = await cluster.askToJoin(other, leader, false);
+  t.ok(answer.ok);
+  const membership = cluster.getGroup(leader)?.membership;
+  t.ok((membership?.changedAt ?? 0) > before);
+  t.equal(membership?.voters.length, 3);
+  const again = await cluster.askToJoin(other, leader, true);
+  t.ok(again.ok);
+  t.equal(
+    cluster.getGroup(leader)?.membership.changedAt,
+    membership?.changedAt,
+  );
+  await cluster.stop();
+});
--- a/packages/core/src/types/consensus.ts
+++ b/packages/core/src/types/consensus.ts
@@ -116,6 +116,8 @@
 export interface JoinRequest {
   readonly group: number;
   readonly member: Member;
+  /** True if the replica finds itself among the members that it knows. */
+  readonly knowsItself: boolean;
 }
 
 /** Tells a replica to start an election at once. */
--- a/packages/replica/src/calls/call_runner_test.ts
+++ b/packages/replica/src/calls/call_runner_test.ts
@@ -117,6 +117,7 @@
           ? fail(RESULT_CODES.NO_UPSTREAM, "None")
           : Ok(TARGET),
       noteSent: () => undefined,
+      noteEnded: () => undefined,
       noteAnswered: () => undefined,
       findCaller: () => sidecar,
     },
--- a/packages/replica/src/calls/dispatch.ts
+++ b/packages/replica/src/calls/dispatch.ts
@@ -4,6 +4,7 @@
   ABORTED,
   type AttemptKey,
   type CallBody,
+  type DispatchRequest,
   isIdempotent,
   type RunCallEvent,
 } from "@mallowlift/core";
@@ -59,9 +60,17 @@
 
 /** Dispatches an attempt and waits for its end. */
 export async function dispatchAttempt(plan: AttemptPlan): Promise<AttemptEnd> {
+  const { placement, target } = plan;
+  placement.noteSent(target.sidecarId);
+  const call = describeAttempt(plan, Date.now());
+  const end = await sendAttempt(call, describeDispatch(plan));
+  placement.noteEnded(target.sidecarId);
+  return end;
+}
+
+function describeDispatch(plan: AttemptPlan): DispatchRequest {
   const { program, body } = plan;
-  plan.placement.noteSent(plan.target.sidecarId);
-  return await sendAttempt(describeAttempt(plan, Date.now()), {
+  return {
     key: formatKey(plan),
     term: plan.term,
     bootId: plan.target.bootId,
@@ -72,7 +81,7 @@
     body,
     prompt: buildPrompt(program, body),
     told: plan.told,
-  });
+  };
 }
 
 /**
--- a/packages/replica/src/sidecars/placement.ts
+++ b/packages/replica/src/sidecars/placement.ts
@@ -66,7 +66,12 @@
 
   /** Notes that an attempt goes to a sidecar. */
   noteSent(sidecarId: string): void {
-    this.#directory.noteSent(sidecarId);
+    this.#directory.countOwn(sidecarId, 1);
+  }
+
+  /** Notes that an attempt has ended, however. */
+  noteEnded(sidecarId: string): void {
+    this.#directory.countOwn(sidecarId, -1);
   }
 
   /** Notes what a sidecar's engine has cached after an answer. */
@@ -84,7 +89,7 @@
 /** What the task of a call uses of the placement. */
 export type CallPlacement = Pick<
   Placement,
-  "place" | "noteSent" | "noteAnswered" | "findCaller"
+  "place" | "noteSent" | "noteEnded" | "noteAnswered" | "findCaller"
 >;
 
 function describeCall(program: ProgramRecord, body: CallBody): PlacementCall {
--- a/packages/replica/src/sidecars/sidecar_directory.ts
+++ b/packages/replica/src/sidecars/sidecar_directory.ts
@@ -14,8 +14,10 @@
 interface KnownSidecar {
   report: SidecarReport;
   reportedAt: number;
-  /** Attempts sent since the last report. */
-  sentSinceReport: number;
+  /** Attempts of this replica that are under way. */
+  ownCalls: number;
+  /** Calls of other replicas, when the last report came. */
+  otherCalls: number;
 }
 
 /** Sidecars by id. */
@@ -36,10 +38,14 @@
     if (known !== undefined && known.report.bootId !== report.bootId) {
       this.cache.forgetSidecar(report.sidecarId);
     }
+    const ownCalls = known?.ownCalls ?? 0;
+    // What a report counts beyond the own calls belongs to other replicas.
+    const otherCalls = Math.max(0, report.running + report.queued - ownCalls);
     this.#sidecars.set(report.sidecarId, {
       report,
       reportedAt: now,
-      sentSinceReport: 0,
+      ownCalls,
+      otherCalls,
     });
     for (const change of report.cacheChanges) {
       this.cache.note(report.sidecarId, change.programId, change.tokens);
@@ -71,10 +77,11 @@
     return addresses;
   }
 
-  /** Notes that an attempt was sent. */
-  noteSent(sidecarId: string): void {
+  /** Notes that attempts of this replica were sent, or with -1 that one ended. */
+  countOwn(sidecarId: string, change: number): void {
     const known = this.#sidecars.get(sidecarId);
-    if (known !== undefined) known.sentSinceReport++;
+    if (known === undefined) return;
+    known.ownCalls = Math.max(0, known.ownCalls + change);
   }
 
   /** Returns the way to a sidecar. */
@@ -96,9 +103,8 @@
     return {
       sidecarId,
       failureDomain: report.failureDomain,
-      running: report.running,
-      queued: report.queued,
-      sentSinceReport: known.sentSinceReport,
+      ownCalls: known.ownCalls,
+      otherCalls: known.otherCalls,
       slots: report.slots,
       queueLimit: report.queueLimit,
       stepMilliseconds: report.stepMilliseconds,
--- a/packages/scheduling/src/placement_policy.ts
+++ b/packages/scheduling/src/placement_policy.ts
@@ -4,12 +4,10 @@
 export interface PlacementCandidate {
   readonly sidecarId: string;
   readonly failureDomain: string;
-  /** Calls at the upstream, by the last report. */
-  readonly running: number;
-  /** Calls that wait at the sidecar, by the last report. */
-  readonly queued: number;
-  /** Calls sent by this owner that the last report cannot know of yet. */
-  readonly sentSinceReport: number;
+  /** Calls that this replica has there now; known without lag. */
+  readonly ownCalls: number;
+  /** Calls of other replicas, by the last report. */
+  readonly otherCalls: number;
   readonly slots: number;
   readonly queueLimit: number;
   readonly stepMilliseconds: number;
@@ -36,7 +34,7 @@
 
 /** Calls that a candidate has, as far as can be known. */
 export function countWork(candidate: PlacementCandidate): number {
-  return candidate.running + candidate.queued + candidate.sentSinceReport;
+  return candidate.ownCalls + candidate.otherCalls;
 }
 
 /** Returns true if the candidate's queue is not full, as far as can be known. */
--- a/packages/scheduling/src/policies_test.ts
+++ b/packages/scheduling/src/policies_test.ts
@@ -13,9 +13,8 @@
 const candidate: fc.Arbitrary<PlacementCandidate> = fc.record({
   sidecarId: fc.string(),
   failureDomain: fc.constant("hall-kawah"),
-  running: fc.nat(16),
-  queued: fc.nat(32),
-  sentSinceReport: fc.nat(8),
+  ownCalls: fc.nat(32),
+  otherCalls: fc.nat(16),
   slots: fc.integer({ min: 1, max: 16 }),
   queueLimit: fc.nat(32),
   stepMilliseconds: fc.integer({ min: 1, max: 20 }),
@@ -46,9 +45,8 @@
 test("among equally loaded engines the cached prompt decides", (t) => {
   const base = {
     failureDomain: "",
-    running: 1,
-    queued: 0,
-    sentSinceReport: 0,
+    ownCalls: 1,
+    otherCalls: 0,
     slots: 8,
     queueLimit: 8,
     stepMilliseconds: 5,
@@ -56,7 +54,7 @@
   const cold = { ...base, sidecarId: "cold", cachedTokens: 0 };
   const warm = { ...base, sidecarId: "warm", cachedTokens: 1_900 };
   t.equal(new ExpectedFinish(1).choose(CALL, [cold, warm])?.sidecarId, "warm");
-  const full = { ...warm, running: 8, queued: 7 };
+  const full = { ...warm, ownCalls: 8, otherCalls: 7 };
   t.equal(new ExpectedFinish(0).choose(CALL, [cold, full])?.sidecarId, "cold");
   t.end();
 });
--- a/packages/transport/src/peer_link_test.ts
+++ b/packages/transport/src/peer_link_test.ts
@@ -62,7 +62,11 @@
     address: "",
     failureDomain: "",
   } as const;
-  const refused = await link.call("consensus.join", { group: 1, member }, CALL);
+  const refused = await link.call("consensus.join", {
+    group: 1,
+    member,
+    knowsItself: true,
+  }, CALL);
   t.equal(refused.err && refused.val.code, RESULT_CODES.NOT_LEADER);
   const unknown = await link.call("replica.status", {}, CALL);
   t.equal(unknown.err && unknown.val.code, RESULT_CODES.UNKNOWN_METHOD);
