Strengthen two tests that a missing mechanism had passed

Waiting for streams at an entry proved superfluous: the HTTP library waits for the handler. Change: both tests, and the superfluous code is gone. Measured: both fail without their mechanism and pass with it.

--- a/packages/bench/src/integration/leaving_test.ts
+++ b/packages/bench/src/integration/leaving_test.ts
@@ -1,12 +1,14 @@
 import { composeAnswer } from "@mallowlift/mocks";
 import { sleep } from "@mallowlift/core";
 import { test } from "tap";
+import { SITE_SERVICE } from "../site/seed_resources.ts";
 import { OPERATOR_TOKEN } from "../site/site_plan.ts";
 import {
   askModel,
   createProgram,
   startTestSite,
   waitFor,
+  writeStake,
 } from "./test_site.ts";
 
 const SLOW_ENGINE = { stepMilliseconds: 20 };
@@ -37,10 +39,13 @@
       async () => !await site.isHealthy(name),
     );
     const before = engines[position]?.generations ?? 0;
-    for (let number = 0; number < 6; number++) {
+    // Many at once, so that load alone would bring some to each engine.
+    const numbers = Array.from({ length: 12 }, (_, number) => number);
+    const others = numbers.map(async (number) => {
       const other = await createProgram(client, `after-drain-${number}`);
-      t.equal((await client.callModel(other, askModel("x", 2))).status, 200);
-    }
+      return await client.callModel(other, askModel("x", 10));
+    });
+    for (const answer of await Promise.all(others)) t.equal(answer.status, 200);
     t.equal(engines[position]?.generations, before);
     const answer = await streamed;
     t.equal(answer.text, composeAnswer(body.messages, 100));
@@ -68,6 +73,21 @@
     });
   }
 
+  await t.test("a planned stop of a sidecar waits for a write that may not repeat", async (t) => {
+    const [service] = running.services;
+    if (service === undefined) throw new Error("There is no service");
+    const program = await createProgram(client, "stop-write");
+    service.faults.delayMilliseconds = 1_200;
+    const writing = client.callService(program, SITE_SERVICE, writeStake("w"));
+    await waitFor("it runs", () => service.countRuns(`${program}/w`) === 1);
+    t.equal(await site.get("stakes-1").process.stop(), 0);
+    service.faults.delayMilliseconds = 2;
+    t.equal((await writing).status, 200);
+    t.equal(service.countRuns(`${program}/w`), 1);
+    site.get("stakes-1").process.start();
+    await site.waitUntilHealthy();
+  });
+
   await t.test("an entry cut off refuses within seconds and never goes back", async (t) => {
     const program = await createProgram(client, "cut-off");
     const links = site.proxies.filter((known) => known.source === "entry-1");
--- a/packages/entry/src/callers/stream_call.ts
+++ b/packages/entry/src/callers/stream_call.ts
@@ -47,10 +47,8 @@
       output.writeText(`${beginning}${JSON.stringify(text)}${CHUNK_ENDING}`),
     signal,
   });
-  const closeStream = parts.openStreams.open();
   const reply = await runCall(parts, { call, signal, follower });
   const failure = findStreamFailure(reply, follower);
-  closeStream();
   // A refusal before the first text has a status of its own.
   if (failure !== undefined && !output.isOpen) {
     return refuseByOwner(toolkit, failure);
--- a/packages/entry/src/entry_parts.ts
+++ b/packages/entry/src/entry_parts.ts
@@ -3,7 +3,6 @@
 import type { ConfigurationFollower } from "@mallowlift/configuration";
 import type { Logger, Metrics } from "@mallowlift/core";
 import type { PeerLinks } from "@mallowlift/transport";
-import type { OpenStreams } from "./http/event_output.ts";
 import type { OwnerDirectory } from "./owners/owner_directory.ts";
 
 /** Parts of a running entry. */
@@ -12,8 +11,6 @@
   readonly links: PeerLinks;
   readonly follower: ConfigurationFollower;
   readonly operatorTokenSha256: string;
-  /** Streams that are still being answered. */
-  readonly openStreams: OpenStreams;
   readonly logger: Logger;
   readonly metrics: Metrics;
   /** Returns the group that owns a program. */
--- a/packages/entry/src/entry_role.ts
+++ b/packages/entry/src/entry_role.ts
@@ -14,7 +14,6 @@
 import { createCallerRoutes } from "./callers/caller_app.ts";
 import type { EntryParts } from "./entry_parts.ts";
 import { createHttpServer } from "./http/create_server.ts";
-import { OpenStreams } from "./http/event_output.ts";
 import { createOperatorRoutes } from "./operators/operator_app.ts";
 import { OwnerDirectory } from "./owners/owner_directory.ts";
 
@@ -36,7 +35,6 @@
   readonly #logger: Logger;
   readonly #follower: ConfigurationFollower;
   readonly #server: Server;
-  readonly #openStreams = new OpenStreams();
   #draining = false;
 
   constructor(options: EntryRoleOptions) {
@@ -64,7 +62,6 @@
       links,
       follower: this.#follower,
       operatorTokenSha256: entry.operatorTokenSha256,
-      openStreams: this.#openStreams,
       logger,
       metrics,
       findGroup: (programId) =>
@@ -109,7 +106,6 @@
   async stop(): Promise<void> {
     this.#draining = true;
     const timeout = this.#options.settings.daemon.stopMilliseconds;
-    await this.#openStreams.waitUntilNone(timeout);
     await this.#server.stop({ timeout });
     this.#follower.stop();
   }
--- a/packages/entry/src/http/event_output.ts
+++ b/packages/entry/src/http/event_output.ts
@@ -1,10 +1,8 @@
 /** Server-sent events, written straight to the caller's connection. */
 
 import type { ServerResponse } from "node:http";
-import { sleep } from "@mallowlift/core";
 
 const HTTP_OK = 200;
-const LOOK_MILLISECONDS = 20;
 
 /**
  * Writes events to a response that the HTTP library no longer handles:
@@ -40,24 +38,3 @@
     this.#response.end();
   }
 }
-
-/** Counts streams, since the HTTP library does not wait for them at a stop. */
-export class OpenStreams {
-  #count = 0;
-
-  /** Notes a stream; the returned function notes its end. */
-  open(): () => void {
-    this.#count++;
-    return () => {
-      this.#count--;
-    };
-  }
-
-  /** Resolves when there is no open stream, or after the limit. */
-  async waitUntilNone(limitMilliseconds: number): Promise<void> {
-    const deadline = Date.now() + limitMilliseconds;
-    while (this.#count > 0 && Date.now() < deadline) {
-      await sleep(LOOK_MILLISECONDS);
-    }
-  }
-}
