Test gateways and stores with real processes, and refuse wrong options

Cause: the new roles had unit tests only; npm run soak and bench:policy took bad input for good (seed NaN, an unknown policy measured nothing and exited 0).

Change: a small site of gateways and stores in processes, with an upstream that records what it ran: histories that fork, budgets, promises, lost disks one after the other, all power lost, a stop under a stream.

--- /dev/null
+++ b/packages/bench/src/gateways/gateway_test.ts
@@ -0,0 +1,292 @@
+import type { RoutingDocument } from "@mallowlift/core";
+import { sleep } from "@mallowlift/core";
+import { describeOutput, OpaqueUpstream } from "@mallowlift/mocks";
+import { type Test, test } from "tap";
+import { callGateway, type CallSeen } from "./gateway_caller.ts";
+import { GatewaySite } from "./gateway_site.ts";
+
+const ROUTE = {
+  host: "a.example",
+  targets: [{ service: "s", weight: 1 }],
+  timeoutMilliseconds: 20_000,
+  targetMilliseconds: 200,
+  priority: 1,
+  maxAttempts: 2,
+  keepsHistory: false,
+  retentionMilliseconds: 0,
+  prefersSameUpstream: false,
+};
+
+const DOCUMENT: RoutingDocument = {
+  version: 1,
+  routes: [
+    { ...ROUTE, name: "read", pathPrefix: "/read/", kind: "idempotent" },
+    { ...ROUTE, name: "write", pathPrefix: "/write/", kind: "once" },
+    {
+      ...ROUTE,
+      name: "stream",
+      pathPrefix: "/stream/",
+      kind: "stream",
+      keepsHistory: true,
+      retentionMilliseconds: 600_000,
+    },
+  ],
+  services: [{
+    name: "s",
+    maxConnections: 100,
+    tokensPerEvent: 2,
+    isEngine: true,
+  }],
+  limits: {
+    maxHeaderBytes: 16_384,
+    maxBodyBytes: 1_048_576,
+    headerTimeoutMilliseconds: 3_000,
+    idleTimeoutMilliseconds: 15_000,
+  },
+};
+
+interface Running {
+  readonly site: GatewaySite;
+  readonly upstreams: readonly OpaqueUpstream[];
+}
+
+async function start(t: Test, gateways: number): Promise<Running> {
+  const upstreams = [new OpaqueUpstream("u-1"), new OpaqueUpstream("u-2")];
+  for (const upstream of upstreams) await upstream.start();
+  const site = await GatewaySite.start({
+    folder: t.testdir(),
+    gateways,
+    stores: 3,
+    upstreams,
+  }, DOCUMENT);
+  t.teardown(async () => {
+    await site.stop();
+    for (const upstream of upstreams) upstream.stop();
+  });
+  return { site, upstreams };
+}
+
+function askTurn(
+  { site }: Running,
+  turn: {
+    readonly id: string;
+    readonly previous?: string;
+    readonly gateway?: number;
+    readonly budget?: number;
+    readonly program?: string;
+  },
+): Promise<CallSeen> {
+  const url = site.gateways[turn.gateway ?? 0]?.callersUrl ?? "";
+  return callGateway(url, {
+    callId: turn.id,
+    path: "/stream/x",
+    body: `input-${turn.id};`,
+    headers: {
+      "x-program": turn.program ?? "p",
+      "x-most-tokens": "6",
+      ...(turn.budget === undefined
+        ? {}
+        : { "x-token-budget": String(turn.budget) }),
+      ...(turn.previous === undefined
+        ? {}
+        : { "x-previous-turn": turn.previous }),
+    },
+  });
+}
+
+/** Asks again for as long as the answer promises that nothing ran. */
+async function askTurnUntilServed(
+  running: Running,
+  turn: Parameters<typeof askTurn>[1],
+): Promise<CallSeen> {
+  for (let round = 0; round < 100; round++) {
+    const seen = await askTurn(running, { ...turn, id: `${turn.id}-${round}` });
+    if (seen.status === 200 && seen.whole) return seen;
+    await sleep(100);
+  }
+  throw new Error("The turn was never served");
+}
+
+function findPrompt({ upstreams }: Running, callId: string): string {
+  for (const upstream of upstreams) {
+    for (const run of upstream.runs) if (run.callId === callId) return run.body;
+  }
+  return "not run";
+}
+
+function countRuns({ upstreams }: Running, callId: string): number {
+  let count = 0;
+  for (const upstream of upstreams) {
+    count += upstream.runs.filter((run) => run.callId === callId).length;
+  }
+  return count;
+}
+
+test("a history grows over gateways, forks, and is never mixed", async (t) => {
+  const running = await start(t, 2);
+  t.equal((await askTurn(running, { id: "a" })).status, 200);
+  const promptA = "input-a;";
+  t.equal(findPrompt(running, "a"), promptA);
+  const outputA = describeOutput(promptA, 3);
+  await askTurn(running, { id: "b", previous: "a", gateway: 1 });
+  const promptB = `${promptA}${outputA}input-b;`;
+  t.equal(findPrompt(running, "b"), promptB);
+  await askTurn(running, { id: "c", previous: "a" });
+  t.equal(findPrompt(running, "c"), `${promptA}${outputA}input-c;`);
+  await askTurn(running, { id: "d", previous: "b" });
+  const outputB = describeOutput(promptB, 3);
+  t.equal(findPrompt(running, "d"), `${promptB}${outputB}input-d;`);
+  const unknown = await askTurn(running, { id: "e", previous: "nowhere" });
+  t.equal(unknown.status, 404);
+  t.equal(countRuns(running, "e"), 0);
+});
+
+test("a budget spans gateways, and a refused turn never runs", async (t) => {
+  const running = await start(t, 2);
+  const budget = 10;
+  t.equal((await askTurn(running, { id: "a", budget })).status, 200);
+  const second = await askTurn(running, { id: "b", budget, gateway: 1 });
+  t.equal(second.status, 200);
+  const third = await askTurn(running, { id: "c", budget });
+  t.equal(third.status, 402);
+  t.equal(countRuns(running, "c"), 0);
+  const other = await askTurn(running, { id: "d", budget, program: "q" });
+  t.equal(other.status, 200);
+});
+
+test("a broken stream does not look whole, is not kept, and counts what was sent", async (t) => {
+  const running = await start(t, 1);
+  for (const upstream of running.upstreams) upstream.faults.cutsAfter = 2;
+  const seen = await askTurn(running, { id: "a", budget: 5 });
+  t.equal(seen.status, 200);
+  t.notOk(seen.whole);
+  t.equal(countRuns(running, "a"), 1, "a stream runs at most once");
+  for (const upstream of running.upstreams) upstream.faults.cutsAfter = 99;
+  t.equal((await askTurn(running, { id: "b", previous: "a" })).status, 404);
+  await sleep(200);
+  t.equal((await askTurn(running, { id: "c", budget: 5 })).status, 200);
+  t.equal((await askTurn(running, { id: "d", budget: 5 })).status, 402);
+});
+
+test("only what did not run is refused, and only what may repeat is sent again", async (t) => {
+  const running = await start(t, 1);
+  const url = running.site.gateways[0]?.callersUrl ?? "";
+  const [one, two] = running.upstreams;
+  if (one === undefined || two === undefined) throw new Error("No upstreams");
+  one.faults.isFull = true;
+  const sent = await callGateway(url, { callId: "w1", path: "/write/x" });
+  t.equal(sent.body, "ran w1");
+  one.faults.isFull = false;
+  for (const upstream of running.upstreams) upstream.faults.losesAnswers = true;
+  const lost = await callGateway(url, { callId: "w2", path: "/write/x" });
+  t.equal(lost.status, 502);
+  t.equal(countRuns(running, "w2"), 1);
+  await sleep(300);
+  const read = await callGateway(url, { callId: "r1", path: "/read/x" });
+  t.equal(read.status, 502);
+  t.equal(countRuns(running, "r1"), 2);
+  const nowhere = await callGateway(url, { callId: "n1", path: "/nowhere/" });
+  t.equal(nowhere.status, 404);
+});
+
+test("what callers were told survives the loss of any store, its disk, and all power", async (t) => {
+  const running = await start(t, 2);
+  const { site } = running;
+  let previous = "";
+  let prompt = "";
+  let round = 0;
+  const grow = async () => {
+    const id = `t${round++}`;
+    await askTurnUntilServed(running, {
+      id,
+      previous: previous === "" ? undefined : previous,
+      gateway: round % 2,
+    });
+    const run = running.upstreams.flatMap((upstream) => upstream.runs)
+      .findLast((found) => found.callId.startsWith(`${id}-`));
+    const expected = `${prompt}input-${run?.callId};`;
+    t.equal(run?.body, expected);
+    previous = run?.callId ?? "";
+    prompt = expected + describeOutput(expected, 3);
+  };
+  await grow();
+  for (const store of site.stores) {
+    await site.kill(store, true);
+    await grow();
+    site.restart(store);
+    await site.waitUntilReady();
+    await grow();
+  }
+  for (const daemon of site.daemons) daemon.process.signal("SIGKILL");
+  for (const daemon of site.daemons) await daemon.process.waitForExit();
+  for (const daemon of site.daemons) site.restart(daemon);
+  await site.waitUntilReady();
+  await grow();
+});
+
+test("a gateway that is asked to stop finishes its streams", async (t) => {
+  const running = await start(t, 1);
+  const { site, upstreams } = running;
+  for (const upstream of upstreams) {
+    upstream.events = 20;
+    upstream.faults.pauseMilliseconds = 50;
+  }
+  const stream = askTurn(running, { id: "a" });
+  while (upstreams.every((upstream) => upstream.runs.length === 0)) {
+    await sleep(10);
+  }
+  const gateway = site.gateways[0];
+  t.equal(await gateway?.process.stop(), 0);
+  const seen = await stream;
+  t.equal(seen.status, 200);
+  t.ok(seen.whole);
+});
+
+test("a caller that leaves is felt at the upstream", async (t) => {
+  const running = await start(t, 1);
+  const { upstreams } = running;
+  for (const upstream of upstreams) {
+    upstream.events = 10_000;
+    upstream.faults.pauseMilliseconds = 10;
+  }
+  const leave = new AbortController();
+  const url = running.site.gateways[0]?.callersUrl ?? "";
+  const call = callGateway(url, {
+    callId: "a",
+    path: "/stream/x",
+    signal: leave.signal,
+  });
+  while (upstreams.every((upstream) => upstream.runs.length === 0)) {
+    await sleep(10);
+  }
+  leave.abort();
+  await call;
+  while (upstreams.every((upstream) => upstream.left.length === 0)) {
+    await sleep(10);
+  }
+  t.pass("the upstream saw its connection close");
+});
+
+test("the highest document wins, and an invalid one changes nothing", async (t) => {
+  const running = await start(t, 1);
+  const url = `${running.site.gateways[0]?.operatorsUrl}/v1/routing`;
+  const put = async (document: RoutingDocument) =>
+    (await fetch(url, { method: "PUT", body: JSON.stringify(document) }))
+      .status;
+  const without = { ...DOCUMENT, version: 5, routes: [] };
+  t.equal(await put(without), 200);
+  t.equal(await put({ ...DOCUMENT, version: 4 }), 200);
+  t.equal(await put({ ...DOCUMENT, version: 5 }), 200);
+  t.equal(await put({ ...DOCUMENT, version: 6, services: [] }), 400);
+  t.same(await (await fetch(url)).json(), without);
+  const callers = running.site.gateways[0]?.callersUrl ?? "";
+  for (let round = 0; round < 100; round++) {
+    const seen = await callGateway(callers, {
+      callId: `r${round}`,
+      path: "/read/x",
+    });
+    if (seen.status === 404) return t.pass("the route is gone");
+    await sleep(50);
+  }
+  t.fail("the new document is not in force");
+});
--- /dev/null
+++ b/packages/bench/src/measure/number_option_test.ts
@@ -0,0 +1,38 @@
+import { spawnSync } from "node:child_process";
+import { join } from "node:path";
+import { test } from "tap";
+import { readNumber, readNumbers } from "./number_option.ts";
+
+test("only numbers within the bounds are read", (t) => {
+  const read = readNumber({ least: 1, most: 10 });
+  t.equal(read("10"), 10);
+  for (const wrong of ["abc", "", "0", "11", "1.5", "1e1", "-1", "NaN"]) {
+    t.throws(() => read(wrong), { code: "commander.invalidArgument" }, wrong);
+  }
+  t.equal(readNumber({ least: 0, most: 1, fraction: true })("0.9"), 0.9);
+  t.same(readNumbers({ least: 1, most: 3 })("1,2"), [1, 2]);
+  t.throws(() => readNumbers({ least: 1, most: 3 })("1,x"));
+  t.end();
+});
+
+test("a wrong option ends a tool with an error and a code", (t) => {
+  const run = (script: string, ...words: string[]) =>
+    spawnSync(process.execPath, [join(__dirname, "..", script), ...words], {
+      encoding: "utf8",
+    });
+  const cases = [
+    ["policy/bench_policy.js", "--policy", "round-robin"],
+    ["policy/bench_policy.js", "--seeds", "1,b"],
+    ["policy/bench_policy.js", "--load", "much"],
+    ["soak/soak.js", "--seed", "abc"],
+    ["path/bench_path.js", "--seconds", "-"],
+    ["recovery/bench_recovery.js", "--rounds", "x"],
+  ] as const;
+  for (const [script, ...words] of cases) {
+    const ended = run(script, ...words);
+    t.not(ended.status, 0, words.join(" "));
+    t.match(ended.stderr, /error: option/, words.join(" "));
+    t.equal(ended.stdout, "");
+  }
+  t.end();
+});
--- a/packages/bench/src/path/bench_path.ts
+++ b/packages/bench/src/path/bench_path.ts
@@ -4,6 +4,7 @@
 import { join, resolve } from "node:path";
 import process from "node:process";
 import { Command } from "commander";
+import { readNumber } from "../measure/number_option.ts";
 import { type ProcessUsage, readUsage } from "../measure/process_usage.ts";
 import { recordResults } from "../measure/record_results.ts";
 import { type FakesProcess, startFakes } from "../site/fakes_process.ts";
@@ -44,9 +45,14 @@
 
 async function main(): Promise<void> {
   const options = new Command("npm run bench:path --")
-    .option("--seconds <seconds>", "time of each load", "12")
+    .option(
+      "--seconds <seconds>",
+      "time of each load",
+      readNumber({ least: 1, most: 3_600 }),
+      12,
+    )
     .parse()
-    .opts<{ seconds: string }>();
+    .opts<{ seconds: number }>();
   const folder = resolve(".site", "bench-path");
   rmSync(folder, { recursive: true, force: true });
   mkdirSync(join(folder, "logs"), { recursive: true });
@@ -85,7 +91,7 @@
     for (const programs of SIZES) {
       const plan = {
         programs,
-        seconds: Number(options.seconds),
+        seconds: options.seconds,
         turns: TURNS,
         pauseMilliseconds: PAUSE_MILLISECONDS,
       };
--- a/packages/bench/src/policy/bench_policy.ts
+++ b/packages/bench/src/policy/bench_policy.ts
@@ -6,6 +6,7 @@
 import Wreck from "@hapi/wreck";
 import { sleep } from "@mallowlift/core";
 import { Command, Option } from "commander";
+import { readNumber, readNumbers } from "../measure/number_option.ts";
 import { recordResults } from "../measure/record_results.ts";
 import { startFakes } from "../site/fakes_process.ts";
 import { OUTFIT_TOKENS, seedResources } from "../site/seed_resources.ts";
@@ -63,11 +64,11 @@
 
 interface BenchOptions {
   readonly workload: WorkloadName;
-  readonly load: string;
+  readonly load: number;
   readonly policy?: string;
-  readonly seeds: string;
-  readonly seconds: string;
-  readonly engines: string;
+  readonly seeds: readonly number[];
+  readonly seconds: number;
+  readonly engines: number;
 }
 
 function print(line: string): void {
@@ -81,18 +82,42 @@
         "firnwatch",
       ),
     )
-    .option("--load <share>", "share of capacity", "0.9")
-    .option("--policy <name>", "one policy; all if missing")
-    .option("--seeds <numbers>", "seeds, separated by commas", "1,2")
-    .option("--seconds <number>", "time of arrivals", "20")
-    .option("--engines <number>", "engines", "12")
+    .option(
+      "--load <share>",
+      "share of capacity",
+      readNumber({ least: 0.01, most: 10, fraction: true }),
+      0.9,
+    )
+    .addOption(
+      new Option("--policy <name>", "one policy; all if missing").choices(
+        POLICIES.map((policy) => policy.name),
+      ),
+    )
+    .option(
+      "--seeds <numbers>",
+      "seeds, separated by commas",
+      readNumbers({ least: 0, most: 2 ** 31 - 1 }),
+      [1, 2],
+    )
+    .option(
+      "--seconds <number>",
+      "time of arrivals",
+      readNumber({ least: 1, most: 3_600 }),
+      20,
+    )
+    .option(
+      "--engines <number>",
+      "engines",
+      readNumber({ least: 1, most: 200 }),
+      12,
+    )
     .parse()
     .opts<BenchOptions>();
   const results: PolicyResult[] = [];
   const policies = POLICIES.filter((known) =>
     options.policy === undefined || known.name === options.policy
   );
-  for (const seed of options.seeds.split(",").map(Number)) {
+  for (const seed of options.seeds) {
     for (const policy of policies) {
       const result = await measurePolicy(policy, options, seed);
       results.push(result);
@@ -108,7 +133,7 @@
   options: BenchOptions,
   seed: number,
 ): Promise<PolicyResult> {
-  const engines = Number(options.engines);
+  const engines = options.engines;
   const folder = resolve(".site", "bench-policy");
   rmSync(folder, { recursive: true, force: true });
   mkdirSync(join(folder, "logs"), { recursive: true });
@@ -150,12 +175,12 @@
     const south = new SiteClient(site.entryUrls[1] ?? "", OUTFIT_TOKENS.SOUTH);
     await seedResources(north, { engines, services: 0 });
     await site.waitUntilHealthy();
-    const seconds = Number(options.seconds);
+    const seconds = options.seconds;
     const programs = planWorkload({
       name: options.workload,
       seed,
       seconds,
-      load: Number(options.load),
+      load: options.load,
       slots: SLOTS * engines,
       stepMilliseconds: STEP_MILLISECONDS,
     });
@@ -174,7 +199,7 @@
       ...result,
       policy: policy.name,
       workload: options.workload,
-      load: Number(options.load),
+      load: options.load,
       seed,
       engines,
       promptTokens: totals.promptTokens,
--- a/packages/bench/src/recovery/bench_recovery.ts
+++ b/packages/bench/src/recovery/bench_recovery.ts
@@ -5,6 +5,7 @@
 import process from "node:process";
 import { sleep } from "@mallowlift/core";
 import { Command } from "commander";
+import { readNumber } from "../measure/number_option.ts";
 import { LatencyRecorder, type LatencySummary } from "../measure/latency.ts";
 import { recordResults } from "../measure/record_results.ts";
 import { startFakes } from "../site/fakes_process.ts";
@@ -30,9 +31,14 @@
 
 async function main(): Promise<void> {
   const options = new Command("npm run bench:recovery --")
-    .option("--rounds <number>", "leaders to kill, and disks to lose", "12")
+    .option(
+      "--rounds <number>",
+      "leaders to kill, and disks to lose",
+      readNumber({ least: 1, most: 10_000 }),
+      12,
+    )
     .parse()
-    .opts<{ rounds: string }>();
+    .opts<{ rounds: number }>();
   const folder = resolve(".site", "bench-recovery");
   rmSync(folder, { recursive: true, force: true });
   mkdirSync(join(folder, "logs"), { recursive: true });
@@ -55,7 +61,7 @@
     await seedResources(client, { engines: ENGINES, services: SERVICES });
     await site.waitUntilHealthy();
     await fillHistory(client);
-    const rounds = Number(options.rounds);
+    const rounds = options.rounds;
     const away = await killLeaders(site, client, rounds);
     print(describe("unavailable after kill -9 of a leader", away));
     const whole = await loseDisks(site, client, rounds);
--- a/packages/bench/src/soak/soak.ts
+++ b/packages/bench/src/soak/soak.ts
@@ -3,6 +3,7 @@
 import { resolve } from "node:path";
 import process from "node:process";
 import { Command } from "commander";
+import { readNumber } from "../measure/number_option.ts";
 import { recordResults } from "../measure/record_results.ts";
 import { runSoak, type SoakResult } from "./run_soak.ts";
 
@@ -12,16 +13,31 @@
 
 async function main(): Promise<boolean> {
   const options = new Command("npm run soak --")
-    .option("--seed <number>", "seed of the faults and of the callers", "1")
-    .option("--seconds <number>", "how long to inject faults", "60")
-    .option("--workers <number>", "callers at once", "16")
+    .option(
+      "--seed <number>",
+      "seed of the faults and of the callers",
+      readNumber({ least: 0, most: 2 ** 31 - 1 }),
+      1,
+    )
+    .option(
+      "--seconds <number>",
+      "how long to inject faults",
+      readNumber({ least: 1, most: 86_400 }),
+      60,
+    )
+    .option(
+      "--workers <number>",
+      "callers at once",
+      readNumber({ least: 1, most: 1_000 }),
+      16,
+    )
     .parse()
-    .opts<{ seed: string; seconds: string; workers: string }>();
-  const seed = Number(options.seed);
+    .opts<{ seed: number; seconds: number; workers: number }>();
+  const { seed } = options;
   const result = await runSoak({
     seed,
-    seconds: Number(options.seconds),
-    workers: Number(options.workers),
+    seconds: options.seconds,
+    workers: options.workers,
     folder: resolve(".site", `soak-${seed}`),
     print,
   });
--- a/packages/mocks/src/mod.ts
+++ b/packages/mocks/src/mod.ts
@@ -5,3 +5,4 @@
 export * from "./engine/prefix_cache.ts";
 export * from "./proxy/fault_proxy.ts";
 export * from "./service/fake_service.ts";
+export * from "./opaque/opaque_upstream.ts";
