Elect sooner, hold a turn for its leader, and write the last log lines

Change: elections after 0.3 to 0.6 s, a turn waits up to half its time for a leader, calls to a silent leader are given up after 0.4 s. The last log lines are written before the process ends.

--- a/packages/core/src/logs/log_queue.ts
+++ b/packages/core/src/logs/log_queue.ts
@@ -2,12 +2,16 @@
 
 import { Buffer } from "node:buffer";
 import { write } from "node:fs";
+import { sleep } from "../shared/sleep.ts";
 
 /** Bytes that may wait, chosen to hold some seconds of a busy daemon's lines. */
 const MAX_WAITING_BYTES = 1_048_576;
 /** Lines are gathered for this long, ms, so that one write serves many. */
 const GATHER_MILLISECONDS = 40;
 
+/** Time between two looks at what is left when the queue closes, ms. */
+const CLOSE_LOOK_MILLISECONDS = 5;
+
 /** Writes some bytes and calls back. */
 export type WriteBytes = (
   bytes: Buffer,
@@ -66,6 +70,15 @@
     this.#writeRest(bytes);
   }
 
+  /** Writes what waits, but waits for it no longer than the limit. */
+  async close(limitMilliseconds: number): Promise<void> {
+    this.flush();
+    const until = Date.now() + limitMilliseconds;
+    while ((this.#isWriting || this.#lines.length > 0) && Date.now() < until) {
+      await sleep(CLOSE_LOOK_MILLISECONDS);
+    }
+  }
+
   #writeRest(bytes: Buffer): void {
     this.#write(bytes, (written, failure) => {
       const isBusy = failure !== undefined &&
--- a/packages/core/src/logs/logger.ts
+++ b/packages/core/src/logs/logger.ts
@@ -52,8 +52,8 @@
 export function createLogger(
   name: string,
   level: "debug" | "info" | "warn" | "error",
+  stream: LogQueue = new LogQueue(),
 ): Logger {
-  const stream = new LogQueue();
   const sink = Bunyan.createLogger({
     name,
     level,
--- a/packages/core/src/settings/schema.ts
+++ b/packages/core/src/settings/schema.ts
@@ -283,15 +283,15 @@
     }),
     leaderWaitMilliseconds: numberField(
       "Longest time that a request waits for the leader of the stores.",
-      { fallback: 900, least: 0, most: 60_000 },
+      { fallback: 2_500, least: 0, most: 60_000 },
     ),
     storeCallMilliseconds: numberField(
       "Longest time for one call to a store before another try.",
-      { fallback: 700, least: 10, most: 60_000 },
+      { fallback: 400, least: 10, most: 60_000 },
     ),
     followMilliseconds: numberField(
       "Longest time that the leader holds a request for changes.",
-      { fallback: 500, least: 10, most: 60_000 },
+      { fallback: 400, least: 10, most: 60_000 },
     ),
     staleMilliseconds: numberField(
       "Time without a word from the leader after which the gateway is not ready.",
@@ -341,13 +341,13 @@
       most: 7,
     }),
     heartbeatMilliseconds: numberField("Time between heartbeats of a leader.", {
-      fallback: 120,
+      fallback: 75,
       least: 5,
       most: 10_000,
     }),
     electionMilliseconds: numberField(
       "Least time without a heartbeat before an election; up to twice that at random.",
-      { fallback: 600, least: 20, most: 60_000 },
+      { fallback: 300, least: 20, most: 60_000 },
     ),
     snapshotEntries: numberField(
       "Log entries after which a snapshot is taken.",
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -8,6 +8,7 @@
   createMetrics,
   describeMistake,
   loadSettings,
+  LogQueue,
   type Logger,
   type Settings,
 } from "@mallowlift/core";
@@ -22,6 +23,9 @@
 /** Exit codes of the daemon. */
 export const EXIT_CODES = { OK: 0, FAILED: 1, SETTINGS: 2 } as const;
 
+/** Longest wait for the last lines to be written, ms: a full pipe must not hold the end. */
+const LAST_LOGS_MILLISECONDS = 200;
+
 interface MainOptions {
   readonly settings: string;
   readonly check?: boolean;
@@ -68,7 +72,13 @@
   settings: Settings,
   parts: { readonly path: string; readonly dialects: Dialects },
 ): Promise<void> {
-  const logger = createLogger(settings.daemon.name, settings.daemon.logLevel);
+  const { name, logLevel } = settings.daemon;
+  const logs = new LogQueue();
+  const logger = createLogger(name, logLevel, logs);
+  const end = async (code: number) => {
+    await logs.close(LAST_LOGS_MILLISECONDS);
+    process.exit(code);
+  };
   const live = new LiveSettings(parts.path, settings, logger);
   container.registerInstance(TOKENS.LIVE_SETTINGS, live);
   container.registerInstance(TOKENS.DIALECTS, parts.dialects);
@@ -77,14 +87,14 @@
   try {
     await daemon.start();
   } catch (thrown) {
-    return failDaemon(logger, thrown);
+    return await end(describeFailure(logger, thrown));
   }
   live.watch();
   process.on("SIGHUP", () => live.reload());
-  const stop = () => void stopDaemon(daemon);
+  const stop = () => void daemon.stop().then(() => end(EXIT_CODES.OK));
   process.once("SIGTERM", stop);
   process.once("SIGINT", stop);
-  daemon.ended.catch((thrown) => failDaemon(logger, thrown));
+  daemon.ended.catch((thrown) => end(describeFailure(logger, thrown)));
 }
 
 function registerParts(settings: Settings, logger: Logger): void {
@@ -106,14 +116,10 @@
   );
 }
 
-async function stopDaemon(daemon: Daemon): Promise<void> {
-  await daemon.stop();
-  process.exit(EXIT_CODES.OK);
-}
-
-function failDaemon(logger: Logger, thrown: unknown): void {
+/** Says why the daemon ends, and returns its exit code. */
+function describeFailure(logger: Logger, thrown: unknown): number {
   const message = thrown instanceof Error ? thrown.message : String(thrown);
   logger.error("Ended by a fault", { message });
   process.stderr.write(`mallowlift: ${message}\n`);
-  process.exit(EXIT_CODES.FAILED);
+  return EXIT_CODES.FAILED;
 }
--- a/packages/gateway/src/calls/run_turn.ts
+++ b/packages/gateway/src/calls/run_turn.ts
@@ -21,6 +21,8 @@
 
 /** When to come back while the stores have no leader, ms: an election takes about as long. */
 const NO_LEADER_MILLISECONDS = 800;
+/** Part of a call's time that may be spent on waiting for a leader. */
+const LEADER_WAIT_PART = 0.5;
 /** Longest time to settle a turn whose caller has gone, ms. */
 const SETTLE_MILLISECONDS = 10_000;
 
@@ -60,6 +62,7 @@
 ): Promise<Outcome<readonly KeptTurn[]>> {
   const { facts } = call.parts;
   const { cache, client, settings } = parts;
+  const left = call.findLeft(performance.now());
   const begun = await client.call("turns.begin", {
     turnId: facts.callId,
     programId: facts.programId,
@@ -67,7 +70,7 @@
     tokenBudget: facts.tokenBudget,
     mostTokens: facts.mostTokens,
     missingFrom: cache.findMissing(facts.previousTurnId),
-  }, settings.leaderWaitMilliseconds);
+  }, Math.min(settings.leaderWaitMilliseconds, LEADER_WAIT_PART * left));
   if (begun.err) return begun;
   for (const turn of begun.val.turns) cache.put(turn);
   const chain = cache.listChain(facts.previousTurnId) ??
--- a/packages/gateway/src/site/site_follower.ts
+++ b/packages/gateway/src/site/site_follower.ts
@@ -15,7 +15,7 @@
 /** Pause after a round in which no leader was found, ms. */
 const RETRY_MILLISECONDS = 60;
 /** How much longer than the held time an answer may take, ms. */
-const ANSWER_MILLISECONDS = 400;
+const ANSWER_MILLISECONDS = 300;
 /** Longest wait for an answer while the leader is looked for, ms. */
 const SEARCH_MILLISECONDS = 300;
 
