Let idle connections rest, prefer upstreams nearby, and explain a request

Change: a connection is watched only while a call waits for a word; log lines are gathered for 0.2 s; upstreams of another failure domain look 1.3 times worse; one line for each failed attempt, refused or unkept turn, and change of readiness, with what it went by; mallowctl explain tells the story of a request.

--- a/packages/bench/src/measure/number_option_test.ts
+++ b/packages/bench/src/measure/number_option_test.ts
@@ -1,7 +1,7 @@
 import { spawnSync } from "node:child_process";
 import { join } from "node:path";
 import { test } from "tap";
-import { readNumber, readNumbers } from "./number_option.ts";
+import { readNumber, readNumbers } from "@mallowlift/cli";
 
 test("only numbers within the bounds are read", (t) => {
   const read = readNumber({ least: 1, most: 10 });
--- a/packages/bench/src/path/bench_path.ts
+++ b/packages/bench/src/path/bench_path.ts
@@ -4,7 +4,7 @@
 import { join, resolve } from "node:path";
 import process from "node:process";
 import { Command } from "commander";
-import { readNumber } from "../measure/number_option.ts";
+import { readNumber } from "@mallowlift/cli";
 import { type ProcessUsage, readUsage } from "../measure/process_usage.ts";
 import { recordResults } from "../measure/record_results.ts";
 import { type FakesProcess, startFakes } from "../site/fakes_process.ts";
--- a/packages/bench/src/policy/bench_policy.ts
+++ b/packages/bench/src/policy/bench_policy.ts
@@ -6,7 +6,7 @@
 import Wreck from "@hapi/wreck";
 import { sleep } from "@mallowlift/core";
 import { Command, Option } from "commander";
-import { readNumber, readNumbers } from "../measure/number_option.ts";
+import { readNumber, readNumbers } from "@mallowlift/cli";
 import { recordResults } from "../measure/record_results.ts";
 import { startFakes } from "../site/fakes_process.ts";
 import { OUTFIT_TOKENS, seedResources } from "../site/seed_resources.ts";
--- a/packages/bench/src/recovery/bench_recovery.ts
+++ b/packages/bench/src/recovery/bench_recovery.ts
@@ -5,7 +5,7 @@
 import process from "node:process";
 import { sleep } from "@mallowlift/core";
 import { Command } from "commander";
-import { readNumber } from "../measure/number_option.ts";
+import { readNumber } from "@mallowlift/cli";
 import { LatencyRecorder, type LatencySummary } from "../measure/latency.ts";
 import { recordResults } from "../measure/record_results.ts";
 import { startFakes } from "../site/fakes_process.ts";
--- a/packages/bench/src/soak/soak.ts
+++ b/packages/bench/src/soak/soak.ts
@@ -3,7 +3,7 @@
 import { resolve } from "node:path";
 import process from "node:process";
 import { Command } from "commander";
-import { readNumber } from "../measure/number_option.ts";
+import { readNumber } from "@mallowlift/cli";
 import { recordResults } from "../measure/record_results.ts";
 import { runSoak, type SoakResult } from "./run_soak.ts";
 
--- a/packages/cli/src/cli_app.ts
+++ b/packages/cli/src/cli_app.ts
@@ -14,6 +14,8 @@
   getResource,
   listResources,
 } from "./commands/resource_commands.ts";
+import { explainRequest } from "./commands/explain_command.ts";
+import { readNumber } from "./number_option.ts";
 import {
   checkSettings,
   showStatus,
@@ -32,6 +34,7 @@
   mallowctl drain engine-2
   mallowctl delete priority office --version 2
   mallowctl watch --from 0
+  mallowctl explain 9c41d07be2a35f68 gateway-1.log gateway-2.log
   mallowctl check-settings /etc/mallowlift/entry.ini
 
 Exit codes:
@@ -114,11 +117,26 @@
   )
     .action(() => showStatus(createContext()));
   program.command("watch").description("print changes as they come")
-    .option("--from <revision>", "changes after this revision", "0")
-    .option("--count <number>", "end after so many changes")
-    .action((options: { from: string; count?: string }) =>
+    .option(
+      "--from <revision>",
+      "changes after this revision",
+      readNumber({ least: 0, most: Number.MAX_SAFE_INTEGER }),
+      0,
+    )
+    .option(
+      "--count <number>",
+      "end after so many changes",
+      readNumber({ least: 1, most: Number.MAX_SAFE_INTEGER }),
+    )
+    .action((options: { from: number; count?: number }) =>
       watchChanges(createContext(), options)
     );
+  program.command("explain <request> [files...]").description(
+    "tell the story of a request from log files, or from standard input",
+  )
+    .action((request: string, files: readonly string[]) =>
+      explainRequest(createContext(), request, files)
+    );
   program.command("check-settings <file>").description(
     "check a settings file, whole",
   )
--- a/packages/cli/src/commands/site_commands.ts
+++ b/packages/cli/src/commands/site_commands.ts
@@ -23,9 +23,9 @@
 /** Prints changes as they come, one JSON line each. */
 export async function watchChanges(
   context: CommandContext,
-  options: { readonly from: string; readonly count?: string },
+  options: { readonly from: number; readonly count?: number },
 ): Promise<void> {
-  const path = `/v1/watch?from_revision=${encodeURIComponent(options.from)}`;
+  const path = `/v1/watch?from_revision=${options.from}`;
   const opened = await context.client.open({ method: "GET", path });
   if (opened.err) return context.failWith(opened.val);
   const answer = opened.val;
@@ -37,7 +37,7 @@
     if (refused.err) context.failWith(refused.val);
     return;
   }
-  await printChanges(context, answer, Number(options.count ?? Infinity));
+  await printChanges(context, answer, options.count ?? Infinity);
 }
 
 /** Checks a settings file and lists every mistake. */
--- a/packages/consensus/src/group/membership_keeper_test.ts
+++ b/packages/consensus/src/group/membership_keeper_test.ts
@@ -85,3 +85,37 @@
   t.same(addLearner([old], joining), [joining]);
   t.end();
 });
+
+test("a retiring voter leaves once another has taken its place, and never before", (t) => {
+  const create = (replicaId: string, self: boolean): MemberHealth => ({
+    member: {
+      replicaId,
+      incarnation: "i",
+      role: MEMBER_ROLES.VOTER,
+      address: "",
+      failureDomain: "",
+    },
+    self,
+    lag: 0,
+    silentMilliseconds: 0,
+  });
+  const limits = { ...LIMITS, retiring: new Set(["r2"]) };
+  const three = [create("r0", true), create("r1", false), create("r2", false)];
+  t.equal(planMembers(three, limits), undefined, "nobody could replace it");
+  const learner = create("r3", false);
+  const withLearner = [...three, {
+    ...learner,
+    member: { ...learner.member, role: MEMBER_ROLES.LEARNER },
+  }];
+  const promoted = planMembers(withLearner, limits) ?? [];
+  t.same(listVoters(promoted), ["r0", "r1", "r2", "r3"]);
+  const left = planMembers([...three, learner], limits) ?? [];
+  t.same(listVoters(left), ["r0", "r1", "r3"]);
+  const ownRetirement = { ...LIMITS, retiring: new Set(["r0"]) };
+  t.equal(
+    planMembers([...three, learner], ownRetirement),
+    undefined,
+    "a leader hands over before it leaves",
+  );
+  t.end();
+});
--- a/packages/consensus/src/group/replicated_group.ts
+++ b/packages/consensus/src/group/replicated_group.ts
@@ -303,7 +303,9 @@
     const least = this.#options.timing.electionMilliseconds;
     while (!this.#stopped.signal.aborted) {
       const timeout = least * (1 + Math.random());
-      await sleep(timeout / 4, this.#stopped.signal);
+      const heardFor = performance.now() - this.#heardAt;
+      const rest = this.#leadership === undefined ? timeout - heardFor : least;
+      await sleep(Math.max(rest, least / 4), this.#stopped.signal);
       if (this.#stopped.signal.aborted) return;
       const now = performance.now();
       if (this.#leadership !== undefined) {
--- a/packages/consensus/src/replica_groups.ts
+++ b/packages/consensus/src/replica_groups.ts
@@ -33,7 +33,8 @@
 } from "./group/state_machine.ts";
 import { DataFolder } from "./storage/data_folder.ts";
 
-const KEEP_MILLISECONDS = 200;
+/** Time between two looks at the members, ms. */
+const KEEP_MILLISECONDS = 300;
 const JOIN_TIMEOUT_MILLISECONDS = 2_000;
 
 /** What one group replicates, and who hears of its leadership. */
--- a/packages/core/src/logs/log_queue.ts
+++ b/packages/core/src/logs/log_queue.ts
@@ -7,7 +7,7 @@
 /** Bytes that may wait, chosen to hold some seconds of a busy daemon's lines. */
 const MAX_WAITING_BYTES = 1_048_576;
 /** Lines are gathered for this long, ms, so that one write serves many. */
-const GATHER_MILLISECONDS = 40;
+const GATHER_MILLISECONDS = 200;
 
 /** Time between two looks at what is left when the queue closes, ms. */
 const CLOSE_LOOK_MILLISECONDS = 5;
--- a/packages/core/src/settings/schema.ts
+++ b/packages/core/src/settings/schema.ts
@@ -86,7 +86,7 @@
     ),
     directoryMilliseconds: numberField(
       "Time between two exchanges of the directory of daemons.",
-      { fallback: 1_000, least: 20, most: 60_000 },
+      { fallback: 2_000, least: 20, most: 60_000 },
     ),
     programGroups: numberField(
       "Number of program groups; fixed when the site is founded.",
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -8,8 +8,8 @@
   createMetrics,
   describeMistake,
   loadSettings,
-  LogQueue,
   type Logger,
+  LogQueue,
   type Settings,
 } from "@mallowlift/core";
 import { PeerLinks } from "@mallowlift/transport";
--- a/packages/gateway/src/calls/call_parts.ts
+++ b/packages/gateway/src/calls/call_parts.ts
@@ -14,6 +14,8 @@
   /** Gateways that share the upstreams now. */
   readonly countGateways: () => number;
   readonly random: () => number;
+  /** Time since the instance list was read, ms. */
+  readonly findListAge: (now: number) => number;
 }
 
 /** How the search for an upstream ended, if not with an answer. */
--- a/packages/gateway/src/calls/run_turn.ts
+++ b/packages/gateway/src/calls/run_turn.ts
@@ -104,9 +104,12 @@
   if (isFinal) return failCall(call, parts, { error, notRun: true });
   // The reserve may have been made although nobody said so.
   settleTurn(call, parts, 0);
-  parts.logger.debug("Turn refused", {
+  parts.logger.info("Turn refused", {
     call: call.parts.facts.callId,
+    program: call.parts.facts.programId,
     reason: code.name,
+    leader: parts.client.leader ?? "",
+    left_ms: Math.round(call.findLeft(performance.now())),
   });
   failCall(call, parts, {
     error: {
@@ -138,6 +141,12 @@
   const ended = await parts.client.call("turns.end", turn, left);
   if (ended.err) {
     call.noteFailure(ended.val);
+    parts.logger.warn("Turn not kept", {
+      call: facts.callId,
+      program: facts.programId,
+      reason: ended.val.code.name,
+      leader: parts.client.leader ?? "",
+    });
     return call.breakOff();
   }
   parts.cache.put({
--- a/packages/gateway/src/calls/send_call.ts
+++ b/packages/gateway/src/calls/send_call.ts
@@ -74,6 +74,7 @@
       return { answer: end, upstream: upstream.instance.id };
     }
     last = end.error;
+    noteFailedAttempt(call, parts, { end, upstream });
     countRetry(parts.metrics, "gateway", last.code);
     tried.add(upstream.instance.id);
     if (end.kind === "not_run") {
@@ -87,6 +88,32 @@
   return { failure: { error: last, notRun: runs === 0 } };
 }
 
+/** One line for each attempt that brought no answer, with what it went by. */
+function noteFailedAttempt(
+  call: OpenCall,
+  parts: CallParts,
+  details: {
+    readonly end: Exclude<AttemptEnd, { kind: "whole" }>;
+    readonly upstream: Upstream;
+  },
+): void {
+  const { end, upstream } = details;
+  if (call.hasLeft) return;
+  const now = performance.now();
+  parts.logger.info("Attempt failed", {
+    call: call.parts.facts.callId,
+    program: call.parts.facts.programId,
+    upstream: upstream.instance.id,
+    outcome: end.kind,
+    code: end.error.code.name,
+    reason: end.error.message,
+    send: call.story.sends,
+    running: upstream.running,
+    list_age_ms: Math.round(parts.findListAge(now)),
+    left_ms: Math.round(call.findLeft(now)),
+  });
+}
+
 function describeAbort(call: OpenCall, runs: number): CodedError {
   const code: ResultCode = call.hasLeft
     ? RESULT_CODES.CALLER_LEFT
--- a/packages/gateway/src/gateway_role.ts
+++ b/packages/gateway/src/gateway_role.ts
@@ -55,6 +55,7 @@
   readonly #callers: CallerServer;
   readonly #operators: Server;
   readonly #parts: TurnParts;
+  #wasReady = false;
   #sweeper: NodeJS.Timeout | undefined;
   #gateways = { count: 1, at: -Infinity };
 
@@ -67,7 +68,7 @@
       links,
       callMilliseconds: gateway.storeCallMilliseconds,
     });
-    this.#upstreams = new UpstreamTable(random);
+    this.#upstreams = new UpstreamTable(random, settings.daemon.failureDomain);
     this.#follower = new SiteFollower({
       name: settings.daemon.name,
       client,
@@ -83,6 +84,7 @@
       metrics,
       countGateways: () => this.#countGateways(performance.now()),
       random,
+      findListAge: (now) => this.#follower.findListAge(now),
       client,
       cache: new TurnCache(gateway.historyBytes),
     };
@@ -93,6 +95,7 @@
       getRoutes: () => this.#follower.routes,
       run: (call) => this.#run(call),
       random,
+      findListAge: (now) => this.#follower.findListAge(now),
       logger: logger.forPart("calls"),
       metrics,
     });
@@ -107,8 +110,17 @@
   isHealthy(): boolean {
     const now = performance.now();
     const { staleMilliseconds } = this.#options.settings.gateway;
-    return this.#follower.routes !== undefined &&
-      this.#follower.findSilence(now) < staleMilliseconds;
+    const silence = this.#follower.findSilence(now);
+    const isReady = this.#follower.routes !== undefined &&
+      silence < staleMilliseconds;
+    if (isReady !== this.#wasReady) {
+      this.#wasReady = isReady;
+      this.#options.logger.info(isReady ? "Ready" : "Not ready", {
+        version: this.#follower.routes?.document.version ?? -1,
+        leader_silence_ms: Number.isFinite(silence) ? Math.round(silence) : -1,
+      });
+    }
+    return isReady;
   }
 
   /** Starts to follow the site and to serve. */
--- a/packages/gateway/src/http/caller_server.ts
+++ b/packages/gateway/src/http/caller_server.ts
@@ -54,6 +54,8 @@
   readonly getRoutes: () => RouteTable | undefined;
   readonly run: (call: OpenCall) => Promise<void>;
   readonly random: () => number;
+  /** Time since the instance list was read, ms. */
+  readonly findListAge: (now: number) => number;
   readonly logger: Logger;
   readonly metrics: Metrics;
 }
@@ -207,8 +209,16 @@
     const { dialect, logger, metrics } = this.#options;
     countRefusal(metrics, "gateway", error.code);
     if (error.code === RESULT_CODES.CALLER_LEFT) return;
+    const facts = dialect.readCall({
+      method: request.method ?? "",
+      target: request.url ?? "",
+      headers: request.rawHeaders,
+    });
     logger.info("Request refused", {
+      call: facts.ok ? facts.val.callId : "",
+      program: facts.ok ? facts.val.programId : "",
       code: error.code.name,
+      reason: error.message,
       target: request.url,
       version: this.#options.getRoutes()?.document.version ?? -1,
     });
@@ -235,6 +245,7 @@
       status,
       code,
       milliseconds,
+      list_age_ms: Math.round(this.#options.findListAge(performance.now())),
     });
   }
 }
--- a/packages/gateway/src/upstreams/upstream_table.ts
+++ b/packages/gateway/src/upstreams/upstream_table.ts
@@ -14,6 +14,12 @@
 /** Part of a score that chance may add, so that gateways do not choose alike. */
 const CHANCE = 0.1;
 
+/**
+ * How much worse an upstream of another failure domain looks: the way there is
+ * longer and its bytes are dear, but load must still even out.
+ */
+const OTHER_DOMAIN = 1.3;
+
 /** What the choice goes by. */
 export interface ChoiceOptions {
   readonly service: string;
@@ -33,9 +39,11 @@
   readonly #byId = new Map<string, Upstream>();
   readonly #byService = new Map<string, Upstream[]>();
   readonly #random: () => number;
+  readonly #failureDomain: string;
 
-  constructor(random: () => number) {
+  constructor(random: () => number, failureDomain: string) {
     this.#random = random;
+    this.#failureDomain = failureDomain;
   }
 
   /** All upstreams. */
@@ -80,7 +88,10 @@
     if (usable.length === 0) return undefined;
     const common = findCommonMean(usable, now);
     const score = (upstream: Upstream) =>
-      upstream.findMean(now, common) * (1 + findLoad(upstream, options));
+      upstream.findMean(now, common) * (1 + findLoad(upstream, options)) *
+      (upstream.instance.failureDomain === this.#failureDomain
+        ? 1
+        : OTHER_DOMAIN);
     const scores = new Map(
       usable.map((upstream) => [upstream, score(upstream)]),
     );
--- a/packages/gateway/src/upstreams/upstream_table_test.ts
+++ b/packages/gateway/src/upstreams/upstream_table_test.ts
@@ -26,7 +26,7 @@
 }
 
 test("leaving, tried and failed upstreams get nothing", (t) => {
-  const table = new UpstreamTable(() => 0.5);
+  const table = new UpstreamTable(() => 0.5, "d");
   table.update([createInstance("a"), createInstance("b", true)]);
   t.equal(table.choose(createOptions())?.instance.id, "a");
   t.equal(table.choose(createOptions({ tried: new Set(["a"]) })), undefined);
@@ -38,7 +38,7 @@
 });
 
 test("an instance that leaves the list is gone, also for who holds it", (t) => {
-  const table = new UpstreamTable(() => 0.5);
+  const table = new UpstreamTable(() => 0.5, "d");
   table.update([createInstance("a")]);
   const upstream = table.choose(createOptions());
   table.update([createInstance("c")]);
@@ -48,7 +48,7 @@
 });
 
 test("load and time are weighed, and a history draws its next turn", (t) => {
-  const table = new UpstreamTable(() => 0);
+  const table = new UpstreamTable(() => 0, "d");
   table.update([createInstance("a"), createInstance("b")]);
   const first = table.choose(createOptions());
   if (first !== undefined) first.running = 4;
@@ -62,7 +62,7 @@
 });
 
 test("an object draws its requests to one upstream", (t) => {
-  const table = new UpstreamTable(() => 0);
+  const table = new UpstreamTable(() => 0, "d");
   table.update(["a", "b", "c", "d"].map((id) => createInstance(id)));
   const chosen = new Set<string>();
   for (let object = 0; object < 40; object++) {
@@ -74,3 +74,16 @@
   t.equal(chosen.size, 4);
   t.end();
 });
+
+test("an upstream of the own failure domain is preferred until it is loaded", (t) => {
+  const table = new UpstreamTable(() => 0, "d");
+  table.update([
+    { ...createInstance("far"), failureDomain: "e" },
+    createInstance("near"),
+  ]);
+  const near = table.choose(createOptions());
+  t.equal(near?.instance.id, "near");
+  if (near !== undefined) near.running = 2;
+  t.equal(table.choose(createOptions())?.instance.id, "far");
+  t.end();
+});
--- a/packages/transport/src/connection.ts
+++ b/packages/transport/src/connection.ts
@@ -2,6 +2,7 @@
 
 import type { Buffer } from "node:buffer";
 import type { Socket } from "node:net";
+import { performance } from "node:perf_hooks";
 import {
   ABORTED,
   createDeferred,
@@ -32,10 +33,32 @@
   HandlerTable,
 } from "./handlers.ts";
 
-const PING_MILLISECONDS = 1_000;
+/** Time between two looks at connections that wait for a word, ms. */
+const LOOK_MILLISECONDS = 1_000;
+/** Silence after a call at which a connection is given up, ms: a few looks. */
 const SILENCE_MILLISECONDS = 4_000;
+/** Id of a ping that asks for one in return. */
+const PING_ASKS = 1;
+/** Id of a ping in return. */
+const PING_ANSWERS = 0;
 const MAX_UNSENT_BYTES = 256 * 1_024 * 1_024;
 
+/** Connections that have sent a call and heard nothing since. */
+const WATCHED = new Set<Connection>();
+let looker: NodeJS.Timeout | undefined;
+
+/** One timer serves all connections, and stands while none is watched. */
+function startLooking(): void {
+  if (looker !== undefined) return;
+  looker = setTimeout(() => {
+    looker = undefined;
+    const now = performance.now();
+    for (const connection of [...WATCHED]) connection.lookAtSilence(now);
+    if (WATCHED.size > 0) startLooking();
+  }, LOOK_MILLISECONDS);
+  looker.unref();
+}
+
 /** Every streamed call ends with one, so it is made once. */
 const CANCELLED_CALL = fail(
   RESULT_CODES.CANCELLED,
@@ -71,11 +94,11 @@
   readonly #closed: Deferred<void> = createDeferred<void>();
   readonly #pending = new Map<number, PendingCall>();
   readonly #served = new Map<number, AbortController>();
-  readonly #pinger: NodeJS.Timeout;
   #nextId = 1;
   #open = true;
   #corked = false;
-  #lastHeardAt = Date.now();
+  /** Since when a call has been sent and nothing was heard; Infinity if not. */
+  #waitingSince = Infinity;
 
   constructor(parts: ConnectionParts) {
     this.#parts = parts;
@@ -85,8 +108,6 @@
     parts.socket.on("data", (bytes: Buffer) => this.#read(bytes));
     parts.socket.on("error", () => this.close());
     parts.socket.on("close", () => this.close());
-    this.#pinger = setInterval(() => this.#ping(Date.now()), PING_MILLISECONDS);
-    this.#pinger.unref();
   }
 
   /** True until the connection closes. */
@@ -115,6 +136,7 @@
       onChunk: options.onChunk as PendingCall["onChunk"],
     });
     this.#send({ type: "call", id, name, body: request });
+    this.#watchSilence(performance.now());
     const giveUp = (outcome: Outcome<never>) => {
       if (!this.#pending.delete(id)) return;
       this.#send({ type: "cancel", id });
@@ -137,7 +159,7 @@
   close(): void {
     if (!this.#open) return;
     this.#open = false;
-    clearInterval(this.#pinger);
+    WATCHED.delete(this);
     this.#parts.socket.destroy();
     for (const pending of this.#pending.values()) {
       pending.done.resolve(
@@ -150,9 +172,18 @@
     this.#closed.resolve(undefined);
   }
 
-  #ping(now: number): void {
-    if (now - this.#lastHeardAt > SILENCE_MILLISECONDS) return this.close();
-    this.#send({ type: "ping", id: 0 });
+  /** Asks for a word, or gives the connection up; called while it waits for one. */
+  lookAtSilence(now: number): void {
+    if (now - this.#waitingSince > SILENCE_MILLISECONDS) return this.close();
+    this.#send({ type: "ping", id: PING_ASKS });
+  }
+
+  /** An idle connection costs nothing; one that waits for a word is watched. */
+  #watchSilence(now: number): void {
+    if (!this.#open || this.#waitingSince !== Infinity) return;
+    this.#waitingSince = now;
+    WATCHED.add(this);
+    startLooking();
   }
 
   #send(frame: Frame): void {
@@ -174,7 +205,10 @@
   }
 
   #read(bytes: Buffer): void {
-    this.#lastHeardAt = Date.now();
+    if (this.#waitingSince !== Infinity) {
+      this.#waitingSince = Infinity;
+      WATCHED.delete(this);
+    }
     const received = { direction: "received" };
     this.#parts.metrics?.peerBytes.inc(received, bytes.length);
     const messages = this.#parts.reader.push(bytes);
@@ -195,6 +229,10 @@
 
   #handleFrame(frame: Frame): void {
     if (frame.type === "call") return void this.#serve(frame);
+    if (frame.type === "ping") {
+      if (frame.id !== PING_ASKS) return;
+      return this.#send({ type: "ping", id: PING_ANSWERS });
+    }
     if (frame.type === "cancel") {
       return this.#served.get(frame.id)?.abort(ABORTED);
     }
--- a/packages/transport/src/peer_link_test.ts
+++ b/packages/transport/src/peer_link_test.ts
@@ -1,4 +1,4 @@
-import { connect } from "node:net";
+import { type AddressInfo, connect, createServer } from "node:net";
 import { once } from "node:events";
 import {
   createDeferred,
@@ -11,6 +11,8 @@
 import { test } from "tap";
 import { Ok } from "ts-results";
 import { parseAddress } from "./address.ts";
+import { Connection } from "./connection.ts";
+import { FrameReader } from "./frame.ts";
 import type { HandlerTable } from "./handlers.ts";
 import { PeerLink } from "./peer_link.ts";
 import { PeerServer } from "./peer_server.ts";
@@ -131,3 +133,28 @@
   link.stop();
   await server.stop();
 });
+
+test("a peer that goes silent after a call is given up, an idle one is not", async (t) => {
+  const silent = createServer({ pauseOnConnect: true });
+  await new Promise<void>((resolve) =>
+    silent.listen(0, "127.0.0.1", () => resolve())
+  );
+  t.teardown(() => silent.close());
+  const { port } = silent.address() as AddressInfo;
+  const openSilent = () =>
+    new Connection({
+      socket: connect(port, "127.0.0.1"),
+      reader: new FrameReader(1_024),
+      peer: "silent",
+      handlers: {},
+      onMalformed: () => undefined,
+    });
+  const idle = openSilent();
+  const called = openSilent();
+  const answer = await called.call("replica.status", {}, {
+    timeoutMilliseconds: 60_000,
+  });
+  t.equal(answer.err && answer.val.code, RESULT_CODES.CONNECTION_LOST);
+  t.ok(idle.isOpen);
+  idle.close();
+});
