--- a/packages/bench/src/gateways/gateway_test.ts
+++ b/packages/bench/src/gateways/gateway_test.ts
@@ -4,46 +4,7 @@
 import { type Test, test } from "tap";
 import { callGateway, type CallSeen } from "./gateway_caller.ts";
 import { GatewaySite } from "./gateway_site.ts";
-
-const ROUTE = {
-  host: "a.example",
-  targets: [{ service: "s", weight: 1 }],
-  timeoutMilliseconds: 20_000,
-  targetMilliseconds: 200,
-  priority: 1,
-  maxAttempts: 2,
-  keepsHistory: false,
-  retentionMilliseconds: 0,
-  prefersSameUpstream: false,
-};
-
-const DOCUMENT: RoutingDocument = {
-  version: 1,
-  routes: [
-    { ...ROUTE, name: "read", pathPrefix: "/read/", kind: "idempotent" },
-    { ...ROUTE, name: "write", pathPrefix: "/write/", kind: "once" },
-    {
-      ...ROUTE,
-      name: "stream",
-      pathPrefix: "/stream/",
-      kind: "stream",
-      keepsHistory: true,
-      retentionMilliseconds: 600_000,
-    },
-  ],
-  services: [{
-    name: "s",
-    maxConnections: 100,
-    tokensPerEvent: 2,
-    isEngine: true,
-  }],
-  limits: {
-    maxHeaderBytes: 16_384,
-    maxBodyBytes: 1_048_576,
-    headerTimeoutMilliseconds: 3_000,
-    idleTimeoutMilliseconds: 15_000,
-  },
-};
+import { TEST_DOCUMENT } from "./test_document.ts";
 
 interface Running {
   readonly site: GatewaySite;
@@ -58,7 +19,7 @@
     gateways,
     stores: 3,
     upstreams,
-  }, DOCUMENT);
+  }, TEST_DOCUMENT);
   t.teardown(async () => {
     await site.stop();
     for (const upstream of upstreams) upstream.stop();
@@ -273,11 +234,11 @@
   const put = async (document: RoutingDocument) =>
     (await fetch(url, { method: "PUT", body: JSON.stringify(document) }))
       .status;
-  const without = { ...DOCUMENT, version: 5, routes: [] };
+  const without = { ...TEST_DOCUMENT, version: 5, routes: [] };
   t.equal(await put(without), 200);
-  t.equal(await put({ ...DOCUMENT, version: 4 }), 200);
-  t.equal(await put({ ...DOCUMENT, version: 5 }), 200);
-  t.equal(await put({ ...DOCUMENT, version: 6, services: [] }), 400);
+  t.equal(await put({ ...TEST_DOCUMENT, version: 4 }), 200);
+  t.equal(await put({ ...TEST_DOCUMENT, version: 5 }), 200);
+  t.equal(await put({ ...TEST_DOCUMENT, version: 6, services: [] }), 400);
   t.same(await (await fetch(url)).json(), without);
   const callers = running.site.gateways[0]?.callersUrl ?? "";
   for (let round = 0; round < 100; round++) {
--- /dev/null
+++ b/packages/bench/src/gateways/operations_test.ts
@@ -0,0 +1,101 @@
+import { execFileSync } from "node:child_process";
+import { readFileSync } from "node:fs";
+import { join } from "node:path";
+import { sleep } from "@mallowlift/core";
+import { OpaqueUpstream } from "@mallowlift/mocks";
+import { type Test, test } from "tap";
+import { callGateway } from "./gateway_caller.ts";
+import { GatewaySite } from "./gateway_site.ts";
+import { TEST_DOCUMENT } from "./test_document.ts";
+
+const SCRIPT = require.resolve("@mallowlift/cli/bin/mallowctl.js");
+const PAGE = join(__dirname, "../../../../docs/OPERATIONS.md");
+
+interface Running {
+  readonly site: GatewaySite;
+  readonly upstream: OpaqueUpstream;
+  readonly logPath: string;
+  readonly url: string;
+}
+
+async function start(t: Test): Promise<Running> {
+  const upstream = new OpaqueUpstream("u-1");
+  await upstream.start();
+  const folder = t.testdir();
+  const site = await GatewaySite.start({
+    folder,
+    gateways: 1,
+    stores: 3,
+    upstreams: [upstream],
+  }, TEST_DOCUMENT);
+  t.teardown(async () => {
+    await site.stop();
+    upstream.stop();
+  });
+  const url = site.gateways[0]?.callersUrl ?? "";
+  return { site, upstream, url, logPath: join(folder, "gateway-0.log") };
+}
+
+/** Runs the command of the page once the end of the request is in the log. */
+async function explain(logPath: string, call: string): Promise<string> {
+  while (!/(Call ended|Request refused)/.test(findLines(logPath, call))) {
+    await sleep(50);
+  }
+  return execFileSync(process.execPath, [SCRIPT, "explain", call, logPath], {
+    encoding: "utf8",
+  });
+}
+
+function findLines(logPath: string, call: string): string {
+  const lines = readFileSync(logPath, "utf8").split("\n");
+  return lines.filter((line) => line.includes(`"call":"${call}"`)).join("\n");
+}
+
+/** The page names the code, and the command that the test has run. */
+function checkPage(t: Test, code: string): void {
+  const page = readFileSync(PAGE, "utf8");
+  t.ok(page.includes(`\`${code}\``), `the page tells of ${code}`);
+  t.ok(page.includes("mallowctl explain"), "the page tells the command");
+}
+
+test("a turn refused because the stores lost their quorum", async (t) => {
+  const { site, url, logPath } = await start(t);
+  for (const store of site.stores.slice(0, 2)) await site.kill(store);
+  const seen = await callGateway(url, { callId: "q1", path: "/stream/x" });
+  t.equal(seen.status, 503);
+  t.ok(Number(seen.retryAfter) > 0);
+  const story = await explain(logPath, "q1");
+  t.match(story, /Turn refused/);
+  t.match(story, /NO_QUORUM, so it did not run/);
+  checkPage(t, "NO_QUORUM");
+});
+
+test("a write whose upstream broke off", async (t) => {
+  const { upstream, url, logPath } = await start(t);
+  upstream.faults.losesAnswers = true;
+  const seen = await callGateway(url, { callId: "w1", path: "/write/x" });
+  t.equal(seen.status, 502);
+  const story = await explain(logPath, "w1");
+  t.match(story, /ANSWER_SPOILED, so it may have run/);
+  t.match(story, /the last attempt, at u-1, ended as lost/);
+  checkPage(t, "ANSWER_SPOILED");
+});
+
+test("a turn refused because its program has spent its budget", async (t) => {
+  const { url, logPath } = await start(t);
+  const ask = (callId: string) =>
+    callGateway(url, {
+      callId,
+      path: "/stream/x",
+      headers: {
+        "x-program": "p",
+        "x-token-budget": "5",
+        "x-most-tokens": "6",
+      },
+    });
+  t.equal((await ask("b1")).status, 200);
+  t.equal((await ask("b2")).status, 402);
+  const story = await explain(logPath, "b2");
+  t.match(story, /BUDGET_EXCEEDED, so it did not run/);
+  checkPage(t, "BUDGET_EXCEEDED");
+});
--- /dev/null
+++ b/packages/bench/src/gateways/test_document.ts
@@ -0,0 +1,44 @@
+/** The routing document of the gateway tests. */
+
+import type { RoutingDocument } from "@mallowlift/core";
+
+const ROUTE = {
+  host: "a.example",
+  targets: [{ service: "s", weight: 1 }],
+  timeoutMilliseconds: 20_000,
+  targetMilliseconds: 200,
+  priority: 1,
+  maxAttempts: 2,
+  keepsHistory: false,
+  retentionMilliseconds: 0,
+  prefersSameUpstream: false,
+};
+
+/** Reads, writes and streams, each below a prefix of its own. */
+export const TEST_DOCUMENT: RoutingDocument = {
+  version: 1,
+  routes: [
+    { ...ROUTE, name: "read", pathPrefix: "/read/", kind: "idempotent" },
+    { ...ROUTE, name: "write", pathPrefix: "/write/", kind: "once" },
+    {
+      ...ROUTE,
+      name: "stream",
+      pathPrefix: "/stream/",
+      kind: "stream",
+      keepsHistory: true,
+      retentionMilliseconds: 600_000,
+    },
+  ],
+  services: [{
+    name: "s",
+    maxConnections: 100,
+    tokensPerEvent: 2,
+    isEngine: true,
+  }],
+  limits: {
+    maxHeaderBytes: 16_384,
+    maxBodyBytes: 1_048_576,
+    headerTimeoutMilliseconds: 3_000,
+    idleTimeoutMilliseconds: 15_000,
+  },
+};
--- a/packages/bench/src/integration/one_process_test.ts
+++ b/packages/bench/src/integration/one_process_test.ts
@@ -54,6 +54,9 @@
   for (const round of [1, 2]) {
     daemon.start();
     await seedResources(client, { engines: 1, services: 0 });
+    // An order needs a leader only; callers are served once the entry has
+    // confirmed its configuration, which is what its health says.
+    await waitUntilHealthy(`http://127.0.0.1:${health}/healthz`);
     const program = await createProgram(client, "small");
     let answer = await client.callModel(program, askModel(`q${round}`, 4));
     while (answer.body.error?.not_run === true) {
@@ -65,3 +68,12 @@
   }
   client.close();
 });
+
+async function waitUntilHealthy(url: string): Promise<void> {
+  while (true) {
+    const answer = await fetch(url).catch(() => undefined);
+    await answer?.arrayBuffer();
+    if (answer?.ok === true) return;
+    await sleep(50);
+  }
+}
