Judge an answer by its id first, and wait for a full disk

Cause: the head of an answer was asked for a promise before it was asked whose it is, so a late refusal of an earlier request on the same connection could have passed for a promise about the next one. A store that was started on a full disk ended by its first write, again and again.

Change: judgeAnswer looks at the id first; a replica tries a synced write before it opens its folder. Answers without a body by their kind get no length.

--- a/packages/consensus/src/replica_groups.ts
+++ b/packages/consensus/src/replica_groups.ts
@@ -1,5 +1,6 @@
 /** All groups of one replica: founding, joining, keeping members, handlers. */
 
+import { mkdirSync } from "node:fs";
 import { performance } from "node:perf_hooks";
 import {
   ABORTED,
@@ -32,6 +33,7 @@
   StateMachine,
 } from "./group/state_machine.ts";
 import { DataFolder } from "./storage/data_folder.ts";
+import { waitUntilWritable } from "./storage/wait_until_writable.ts";
 
 /** Time between two looks at the members, ms. */
 const KEEP_MILLISECONDS = 300;
@@ -75,6 +77,12 @@
 
   /** Opens the data folder; throws if it is damaged. */
   async open(): Promise<void> {
+    mkdirSync(this.#options.dataFolder, { recursive: true });
+    await waitUntilWritable(this.#options.dataFolder, {
+      signal: this.#stopped.signal,
+      onRefused: (reason) =>
+        this.#options.logger.warn("Waiting for the disk", { reason }),
+    });
     this.#folder = await DataFolder.open(this.#options.dataFolder, {
       replicaId: this.#options.replicaId,
       groups: this.#options.definitions.map((definition) => definition.group),
--- a/packages/gateway/src/calls/open_call.ts
+++ b/packages/gateway/src/calls/open_call.ts
@@ -6,6 +6,9 @@
 import type { RouteTable } from "../routing/route_table.ts";
 import type { CallFacts, CallHead, OwnAnswer, RawHeaders } from "../dialect.ts";
 
+const NO_CONTENT = 204;
+const NOT_MODIFIED = 304;
+
 /** Why a call was ended before its answer was whole. */
 export const CALL_ENDS = {
   /** The time of the route or of the caller ran out. */
@@ -93,8 +96,10 @@
     this.story.status = status;
     const { response } = this.parts;
     if (response.destroyed || response.headersSent) return;
-    // An answer to HEAD keeps the length that the upstream gave.
-    const framed = this.parts.head.method === "HEAD"
+    // An answer that has no body by its kind gets no length of ours.
+    const hasNoBody = this.parts.head.method === "HEAD" ||
+      status === NO_CONTENT || status === NOT_MODIFIED;
+    const framed = hasNoBody
       ? headers
       : [...headers, "Content-Length", String(body.length)];
     response.writeHead(status, [...framed]);
--- a/packages/gateway/src/calls/run_attempt.ts
+++ b/packages/gateway/src/calls/run_attempt.ts
@@ -12,6 +12,7 @@
 import type { AnswerHead, CallerDialect } from "../dialect.ts";
 import { findHeader } from "../http/headers.ts";
 import type { ConnectionLimits, Upstream } from "../upstreams/upstream.ts";
+import { judgeAnswer } from "./judge_answer.ts";
 import type {
   AnswerListener,
   Belonging,
@@ -127,15 +128,10 @@
 
   onHead(head: AnswerHead): Belonging {
     const { dialect, callId, events } = this.#options;
-    const facts = dialect.readAnswer(head);
+    const judged = judgeAnswer(dialect.readAnswer(head), callId);
+    if (judged.belonging !== "own") return judged.belonging;
     this.#noteRest(head);
-    if (facts.notRun || facts.isOtherInstance) {
-      this.#noteNotRun(facts.isOtherInstance);
-    } else if (facts.callId !== undefined && facts.callId !== callId) {
-      return "other";
-    } else if (facts.callId === undefined || !facts.isGenuine) {
-      return "spoiled";
-    }
+    if (judged.notRun !== undefined) this.#noteNotRun(judged.notRun);
     this.#head = head;
     const type = findHeader(head.headers, "content-type") ?? "";
     this.#isStream = events !== undefined && head.status === 200 &&
@@ -203,18 +199,11 @@
     this.#options.upstream.noteTime(now - this.#sentAt, now);
   }
 
-  #noteNotRun(isOtherInstance: boolean): void {
+  #noteNotRun(error: CodedError): void {
     const { upstream } = this.#options;
-    if (isOtherInstance) {
-      upstream.retire();
-      this.#notRun = describe(
-        RESULT_CODES.NO_UPSTREAM,
-        "Another instance has the address",
-      );
-      return;
-    }
-    upstream.noteFull(performance.now(), FULL_MILLISECONDS);
-    this.#notRun = describe(RESULT_CODES.QUEUE_FULL, "The upstream is full");
+    this.#notRun = error;
+    if (error.code === RESULT_CODES.NO_UPSTREAM) upstream.retire();
+    else upstream.noteFull(performance.now(), FULL_MILLISECONDS);
   }
 
   #noteRest(head: AnswerHead): void {
