Split the operators' handlers, and tell retired stores by their folder

Cause: operator_handlers.ts held three jobs and program_handlers.ts asked the owner in four like pieces; a retired name could never be used again; the end of a child was asked for twice, and the second promise ended the process when the child failed (seen as an uncaught ENOSPC on a full disk); a caller that does not read could fill a gateway's memory; gateways had no fixed address for metrics.

Change: one file a job; retirements hold the incarnation of the data folder; the supervisor reads the end of a child once; a stream with 4 MiB unread is broken off; metrics_listen.

--- a/packages/consensus/src/founding/replica_source.ts
+++ b/packages/consensus/src/founding/replica_source.ts
@@ -19,7 +19,7 @@
   listFounders(now: number): KnownFounders;
   /** Asks for the right to found the site; at most one replica ever gets it. */
   claimFounding(): Promise<boolean>;
-  /** Names of replicas that are being emptied. */
+  /** Incarnations of replicas that are being emptied. */
   listRetiring(): ReadonlySet<string>;
 }
 
--- a/packages/consensus/src/group/membership_keeper.ts
+++ b/packages/consensus/src/group/membership_keeper.ts
@@ -20,7 +20,7 @@
   readonly standbyMilliseconds: number;
   /** Silence after which a learner is not promoted. */
   readonly freshMilliseconds: number;
-  /** Names of members that are to leave for good. */
+  /** Incarnations of members that are to leave for good. */
   readonly retiring?: ReadonlySet<string>;
 }
 
@@ -43,7 +43,7 @@
     known.member.role === MEMBER_ROLES.VOTER
   );
   const isRetiring = (known: MemberHealth) =>
-    limits.retiring?.has(known.member.replicaId) === true;
+    limits.retiring?.has(known.member.incarnation) === true;
   const idle = health.find((known) =>
     known.member.role !== MEMBER_ROLES.VOTER && isRetiring(known)
   );
@@ -84,7 +84,7 @@
   for (const known of health) {
     if (known.member.role === MEMBER_ROLES.VOTER) continue;
     if (known.silentMilliseconds > limits.freshMilliseconds) continue;
-    if (limits.retiring?.has(known.member.replicaId)) continue;
+    if (limits.retiring?.has(known.member.incarnation)) continue;
     if (known.lag <= CAUGHT_UP_ENTRIES) return known.member;
   }
   return undefined;
--- a/packages/consensus/src/group/membership_keeper_test.ts
+++ b/packages/consensus/src/group/membership_keeper_test.ts
@@ -90,7 +90,7 @@
   const create = (replicaId: string, self: boolean): MemberHealth => ({
     member: {
       replicaId,
-      incarnation: "i",
+      incarnation: `i-${replicaId}`,
       role: MEMBER_ROLES.VOTER,
       address: "",
       failureDomain: "",
@@ -99,7 +99,7 @@
     lag: 0,
     silentMilliseconds: 0,
   });
-  const limits = { ...LIMITS, retiring: new Set(["r2"]) };
+  const limits = { ...LIMITS, retiring: new Set(["i-r2"]) };
   const three = [create("r0", true), create("r1", false), create("r2", false)];
   t.equal(planMembers(three, limits), undefined, "nobody could replace it");
   const learner = create("r3", false);
@@ -111,7 +111,7 @@
   t.same(listVoters(promoted), ["r0", "r1", "r2", "r3"]);
   const left = planMembers([...three, learner], limits) ?? [];
   t.same(listVoters(left), ["r0", "r1", "r3"]);
-  const ownRetirement = { ...LIMITS, retiring: new Set(["r0"]) };
+  const ownRetirement = { ...LIMITS, retiring: new Set(["i-r0"]) };
   t.equal(
     planMembers([...three, learner], ownRetirement),
     undefined,
--- a/packages/consensus/src/replica_groups.ts
+++ b/packages/consensus/src/replica_groups.ts
@@ -260,7 +260,7 @@
       await sleep(KEEP_MILLISECONDS, this.#stopped.signal);
       const isMember = group.membership.find(self) !== undefined;
       if (isMember && group.findSilence(performance.now()) < patience) continue;
-      if (this.#options.replicas.listRetiring().has(self.replicaId)) continue;
+      if (this.#options.replicas.listRetiring().has(self.incarnation)) continue;
       for (const replica of this.#options.replicas.list()) {
         if (replica.replicaId === self.replicaId) continue;
         const link = this.#options.links.get(replica.address);
@@ -303,7 +303,8 @@
     group: ReplicatedGroup,
     request: JoinRequest,
   ): Promise<Outcome<Record<string, never>>> {
-    if (this.#options.replicas.listRetiring().has(request.member.replicaId)) {
+    const retiring = this.#options.replicas.listRetiring();
+    if (retiring.has(request.member.incarnation)) {
       return fail(RESULT_CODES.DRAINING, "This replica is being retired");
     }
     return await handleJoin(group, request);
@@ -339,7 +340,7 @@
   );
   const self = voters.find((known) => known.self);
   return self !== undefined &&
-    options.retiring.has(self.member.replicaId) &&
+    options.retiring.has(self.member.incarnation) &&
     voters.length > options.replicas.voterCount;
 }
 
--- a/packages/core/src/settings/schema.ts
+++ b/packages/core/src/settings/schema.ts
@@ -47,6 +47,10 @@
     healthListen: addressField("Where health and metrics are served.", {
       fallback: "127.0.0.1:0",
     }),
+    metricsListen: addressField(
+      "Where metrics are served besides; nowhere else if the port is 0.",
+      { fallback: "0.0.0.0:0" },
+    ),
     stopMilliseconds: numberField(
       "Longest time that a planned stop waits for open requests.",
       {
--- a/packages/core/src/supervisor/supervisor.ts
+++ b/packages/core/src/supervisor/supervisor.ts
@@ -85,7 +85,10 @@
     await child.start();
     slot.child = child;
     this.#options.logger.debug("Child started", { child: child.name });
-    if (child.ended !== undefined) void this.#watch(slot, child.ended);
+    // Read once: a child may make a new promise each time, and one that nobody
+    // watches would end the process when it rejects.
+    const { ended } = child;
+    if (ended !== undefined) void this.#watch(slot, ended);
   }
 
   async #watch(slot: Slot, ended: Promise<void>): Promise<void> {
--- a/packages/core/src/supervisor/supervisor_test.ts
+++ b/packages/core/src/supervisor/supervisor_test.ts
@@ -61,3 +61,20 @@
   await supervisor.start();
   await t.rejects(supervisor.ended, /Child disk failed/);
 });
+
+test("the end of a child is asked for once", async (t) => {
+  let asked = 0;
+  const supervisor = new Supervisor("root", OPTIONS);
+  supervisor.add(() => ({
+    name: "child",
+    start: () => Promise.resolve(),
+    stop: () => Promise.resolve(),
+    get ended(): Promise<void> {
+      asked++;
+      return new Promise(() => undefined);
+    },
+  }));
+  await supervisor.start();
+  t.equal(asked, 1);
+  await supervisor.stop();
+});
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -84,6 +84,7 @@
   async start(): Promise<void> {
     const health = new HealthServer({
       listen: this.settings.daemon.healthListen,
+      metricsListen: this.settings.daemon.metricsListen,
       readinessPath: this.dialects.readinessPath,
       metrics: this.metrics,
       listHealth: () => this.#listHealth(),
--- a/packages/daemon/src/health_server.ts
+++ b/packages/daemon/src/health_server.ts
@@ -16,6 +16,8 @@
 /** What the server shows. */
 export interface HealthServerOptions {
   readonly listen: string;
+  /** Address at which metrics are served besides; none if its port is 0. */
+  readonly metricsListen: string;
   /** Path at which a balancer asks. */
   readonly readinessPath: string;
   readonly metrics: Metrics;
@@ -26,42 +28,49 @@
 /** Serves the readiness path and /metrics. */
 export class HealthServer implements Child {
   readonly name = "health";
-  readonly #server: Server;
+  readonly #servers: readonly Server[];
 
   constructor(options: HealthServerOptions) {
     const { host, port } = parseAddress(options.listen);
-    this.#server = new Server({ host, port, compression: false });
-    this.#server.route([
-      {
-        method: "GET",
-        path: options.readinessPath,
-        handler: (_request, toolkit) =>
-          describeHealth(options.listHealth(), toolkit),
-      },
-      {
-        method: "GET",
-        path: "/metrics",
-        handler: async (_request, toolkit) => {
-          const text = await options.metrics.registry.metrics();
-          return toolkit.response(text).type(
-            options.metrics.registry.contentType,
-          );
-        },
-      },
-    ]);
+    const server = new Server({ host, port, compression: false });
+    server.route({
+      method: "GET",
+      path: options.readinessPath,
+      handler: (_request, toolkit) =>
+        describeHealth(options.listHealth(), toolkit),
+    });
+    const servers = [server];
+    const besides = parseAddress(options.metricsListen);
+    if (besides.port !== 0) {
+      servers.push(new Server({ ...besides, compression: false }));
+    }
+    for (const each of servers) addMetrics(each, options.metrics);
+    this.#servers = servers;
   }
 
   /** Starts to serve. */
   async start(): Promise<void> {
-    await this.#server.start();
+    for (const server of this.#servers) await server.start();
   }
 
   /** Stops at once; health is not worth waiting for. */
   async stop(): Promise<void> {
-    await this.#server.stop({ timeout: 0 });
+    for (const server of this.#servers) await server.stop({ timeout: 0 });
   }
 }
 
+function addMetrics(server: Server, metrics: Metrics): void {
+  server.route({
+    method: "GET",
+    path: "/metrics",
+    handler: async (_request, toolkit) => {
+      const { registry } = metrics;
+      const text = await registry.metrics();
+      return toolkit.response(text).type(registry.contentType);
+    },
+  });
+}
+
 function describeHealth(
   roles: readonly RoleHealth[],
   toolkit: ResponseToolkit,
--- a/packages/entry/src/callers/program_handlers.ts
+++ b/packages/entry/src/callers/program_handlers.ts
@@ -6,7 +6,9 @@
   deriveProgramId,
   END_REASONS,
   fail,
+  type HandlerName,
   hashText,
+  type InternalHandlers,
   type Outcome,
   type ProgramSpec,
   RESULT_CODES,
@@ -30,6 +32,7 @@
 const DEFAULT_TOKENS = 10_000_000;
 const SHORT_CALL_MILLISECONDS = 5_000;
 const HISTORY_LIMIT = 100;
+const HTTP_CREATED = 201;
 
 /** Creates a root program. */
 export async function createProgram(
@@ -64,12 +67,12 @@
   const checked = checkCaller(parts, request);
   if (checked.err) return refuse(parts, toolkit, checked.val);
   const { outfit, programId } = checked.val;
-  const found = await parts.owners.call(parts.findGroup(programId), {
+  return await answerFromOwner(parts, toolkit, {
+    programId,
     name: "programs.read",
-    createRequest: () => ({ programId, outfit: outfit.name }),
-  }, { timeoutMilliseconds: SHORT_CALL_MILLISECONDS });
-  if (found.err) return answerError(toolkit, found.val, "owner");
-  return answerValue(toolkit, describeProgram(found.val));
+    request: { programId, outfit: outfit.name },
+    describe: describeProgram,
+  });
 }
 
 /** Reads a part of a program's history. */
@@ -89,20 +92,14 @@
     });
   }
   const { outfit, programId } = checked.val;
-  const page = await parts.owners.call(parts.findGroup(programId), {
+  return await answerFromOwner(parts, toolkit, {
+    programId,
     name: "programs.history",
-    createRequest: () => ({
-      programId,
-      outfit: outfit.name,
-      fromTurn,
-      limit: HISTORY_LIMIT,
+    request: { programId, outfit: outfit.name, fromTurn, limit: HISTORY_LIMIT },
+    describe: (page) => ({
+      program: describeProgram(page.program),
+      turns: page.turns.map(describeTurn),
     }),
-  }, { timeoutMilliseconds: SHORT_CALL_MILLISECONDS });
-  if (page.err) return answerError(toolkit, page.val, "owner");
-  const turns = page.val.turns.map(describeTurn);
-  return answerValue(toolkit, {
-    program: describeProgram(page.val.program),
-    turns,
   });
 }
 
@@ -115,16 +112,12 @@
   const checked = checkCaller(parts, request);
   if (checked.err) return refuse(parts, toolkit, checked.val);
   const { outfit, programId } = checked.val;
-  const ended = await parts.owners.call(parts.findGroup(programId), {
+  return await answerFromOwner(parts, toolkit, {
+    programId,
     name: "programs.end",
-    createRequest: () => ({
-      programId,
-      outfit: outfit.name,
-      reason: END_REASONS.CALLER,
-    }),
-  }, { timeoutMilliseconds: SHORT_CALL_MILLISECONDS });
-  if (ended.err) return answerError(toolkit, ended.val, "owner");
-  return answerValue(toolkit, describeProgram(ended.val));
+    request: { programId, outfit: outfit.name, reason: END_REASONS.CALLER },
+    describe: describeProgram,
+  });
 }
 
 async function createProgramBelow(
@@ -149,12 +142,34 @@
   });
   if (spec.err) return refuse(parts, toolkit, spec.val);
   const programId = deriveProgramId(spec.val);
-  const created = await parts.owners.call(parts.findGroup(programId), {
+  return await answerFromOwner(parts, toolkit, {
+    programId,
     name: "programs.create",
-    createRequest: () => ({ programId, spec: spec.val }),
+    request: { programId, spec: spec.val },
+    describe: describeProgram,
+    status: HTTP_CREATED,
+  });
+}
+
+/** Asks the owner of a program, and answers with what it says. */
+async function answerFromOwner<N extends HandlerName>(
+  parts: EntryParts,
+  toolkit: ResponseToolkit,
+  question: {
+    readonly programId: string;
+    readonly name: N;
+    readonly request: InternalHandlers[N]["request"];
+    readonly describe: (reply: InternalHandlers[N]["reply"]) => object;
+    readonly status?: number;
+  },
+): Promise<ResponseObject> {
+  const { programId, name, request, describe, status } = question;
+  const reply = await parts.owners.call(parts.findGroup(programId), {
+    name,
+    createRequest: () => request,
   }, { timeoutMilliseconds: SHORT_CALL_MILLISECONDS });
-  if (created.err) return answerError(toolkit, created.val, "owner");
-  return answerValue(toolkit, describeProgram(created.val), 201);
+  if (reply.err) return answerError(toolkit, reply.val, "owner");
+  return answerValue(toolkit, describe(reply.val), status);
 }
 
 function describeSpec(
--- a/packages/entry/src/operators/operator_app.ts
+++ b/packages/entry/src/operators/operator_app.ts
@@ -7,9 +7,8 @@
   getResource,
   listResources,
   putResource,
-  readStatus,
-  watchResources,
-} from "./operator_handlers.ts";
+} from "./resource_handlers.ts";
+import { readStatus, watchResources } from "./site_handlers.ts";
 
 /** Lists the routes that operators use. */
 export function createOperatorRoutes(
--- a/packages/entry/src/operators/operator_handlers.ts
+++ b/packages/entry/src/operators/resource_handlers.ts
@@ -1,6 +1,5 @@
-/** The work behind the operators' routes. */
+/** The work behind the operators' routes of resources. */
 
-import { PassThrough } from "node:stream";
 import type { Request, ResponseObject, ResponseToolkit } from "@hapi/hapi";
 import {
   checkSpec,
@@ -8,7 +7,6 @@
   isResourceName,
 } from "@mallowlift/configuration";
 import {
-  ABORTED,
   type ConfigurationUpdate,
   fail,
   type Outcome,
@@ -21,19 +19,14 @@
 import Joi from "joi";
 import { Ok } from "ts-results";
 import type { EntryParts } from "../entry_parts.ts";
-import {
-  answerError,
-  answerValue,
-  createErrorBody,
-  refuse,
-} from "../http/answer.ts";
-import { authenticateOperator } from "../http/authentication.ts";
+import { answerError, answerValue, refuse } from "../http/answer.ts";
 import { checkBody } from "../http/check_body.ts";
-import { collectStatus } from "./collect_status.ts";
-
-const CONFIGURATION_GROUP = 0;
-const SHORT_CALL_MILLISECONDS = 5_000;
-const WATCH_HOLD_MILLISECONDS = 5_000;
+import { checkOperator } from "./check_operator.ts";
+import {
+  CONFIGURATION_GROUP,
+  pollConfiguration,
+  SHORT_CALL_MILLISECONDS,
+} from "./poll_configuration.ts";
 
 /** Body that writes a resource. */
 interface PutResourceBody {
@@ -141,106 +134,10 @@
   });
 }
 
-/** Streams every change after a revision. */
-export async function watchResources(
-  parts: EntryParts,
-  request: Request,
-  toolkit: ResponseToolkit,
-): Promise<ResponseObject> {
-  const allowed = checkOperator(parts, request);
-  if (allowed.err) return refuse(parts, toolkit, allowed.val);
-  const from = Number(request.query.from_revision ?? 0);
-  if (!Number.isSafeInteger(from) || from < 0) {
-    const message = "Not allowed: from_revision must be a whole number from 0";
-    return refuse(parts, toolkit, {
-      code: RESULT_CODES.INVALID_FIELD,
-      message,
-    });
-  }
-  const first = await poll(parts, from, 0);
-  if (first.err) return answerError(toolkit, first.val, "owner");
-  if (first.val.whole) {
-    const message =
-      "Changes after this revision are no longer all kept; list and watch again";
-    return refuse(parts, toolkit, {
-      code: RESULT_CODES.REVISION_GONE,
-      message,
-    });
-  }
-  const output = new PassThrough();
-  const gone = new AbortController();
-  request.raw.res.once("close", () => gone.abort(ABORTED));
-  void sendChanges(parts, { first: first.val, output, signal: gone.signal });
-  return toolkit.response(output).type("text/event-stream").header(
-    "cache-control",
-    "no-cache",
-  );
-}
-
-/** Describes the whole site. */
-export async function readStatus(
-  parts: EntryParts,
-  request: Request,
-  toolkit: ResponseToolkit,
-): Promise<ResponseObject> {
-  const allowed = checkOperator(parts, request);
-  if (allowed.err) return refuse(parts, toolkit, allowed.val);
-  return answerValue(toolkit, await collectStatus(parts));
-}
-
-async function sendChanges(
-  parts: EntryParts,
-  options: {
-    readonly first: ConfigurationUpdate;
-    readonly output: PassThrough;
-    readonly signal: AbortSignal;
-  },
-): Promise<void> {
-  const { output, signal } = options;
-  let update = options.first;
-  let revision = update.revision;
-  for (;;) {
-    for (const change of update.changes) {
-      output.write(`data: ${JSON.stringify(change)}\n\n`);
-    }
-    // A comment shows the watcher that the stream is alive.
-    if (update.changes.length === 0) {
-      output.write(`: revision ${update.revision}\n\n`);
-    }
-    revision = update.revision;
-    if (signal.aborted || parts.isDraining()) break;
-    const next = await poll(parts, revision, WATCH_HOLD_MILLISECONDS);
-    if (next.err) {
-      output.write(
-        `data: ${JSON.stringify(createErrorBody(next.val, "owner"))}\n\n`,
-      );
-      break;
-    }
-    update = next.val;
-  }
-  output.end();
-}
-
-async function poll(
-  parts: EntryParts,
-  revision: number,
-  holdMilliseconds: number,
-): Promise<Outcome<ConfigurationUpdate>> {
-  return await parts.owners.call(CONFIGURATION_GROUP, {
-    name: "configuration.poll",
-    createRequest: () => ({
-      daemonId: "",
-      bootId: "",
-      revision,
-      holdMilliseconds,
-    }),
-  }, { timeoutMilliseconds: SHORT_CALL_MILLISECONDS + holdMilliseconds });
-}
-
 async function readWhole(
   parts: EntryParts,
 ): Promise<Outcome<ConfigurationUpdate>> {
-  return await poll(parts, -1, 0);
+  return await pollConfiguration(parts, -1, 0);
 }
 
 async function sendOrder(
@@ -257,13 +154,6 @@
   return answerValue(toolkit, { kind, name, ...result.val });
 }
 
-function checkOperator(parts: EntryParts, request: Request): Outcome<void> {
-  if (parts.isDraining()) {
-    return fail(RESULT_CODES.DRAINING, "This entry is leaving", 100);
-  }
-  return authenticateOperator(request, parts.operatorTokenSha256);
-}
-
 function checkKind(parts: EntryParts, request: Request): Outcome<ResourceKind> {
   const allowed = checkOperator(parts, request);
   if (allowed.err) return allowed;
--- a/packages/gateway/src/calls/open_call.ts
+++ b/packages/gateway/src/calls/open_call.ts
@@ -6,6 +6,8 @@
 import type { RouteTable } from "../routing/route_table.ts";
 import type { CallFacts, CallHead, OwnAnswer, RawHeaders } from "../dialect.ts";
 
+/** Bytes that a caller may leave unread before its stream is broken off. */
+const MAX_UNSENT_BYTES = 4_194_304;
 const NO_CONTENT = 204;
 const NOT_MODIFIED = 304;
 
@@ -134,7 +136,10 @@
   /** Sends one event. */
   sendEvent(event: Buffer): void {
     this.story.events++;
-    if (!this.parts.response.destroyed) this.parts.response.write(event);
+    const { response } = this.parts;
+    if (response.destroyed) return;
+    if (response.writableLength > MAX_UNSENT_BYTES) return this.breakOff();
+    response.write(event);
   }
 
   /** Ends the series of events as whole. */
--- a/packages/sessions/src/site_commands.ts
+++ b/packages/sessions/src/site_commands.ts
@@ -30,6 +30,8 @@
 export interface RetireCommand {
   readonly kind: "retire";
   readonly name: string;
+  /** Of its data folder: a new store may bear the same name later. */
+  readonly incarnation: string;
 }
 
 /** Changes nothing; its commit proves that the state is the newest. */
--- a/packages/sessions/src/site_state.ts
+++ b/packages/sessions/src/site_state.ts
@@ -28,7 +28,7 @@
   readonly document: ReplaceDocument | undefined;
   readonly turns: readonly StoredTurn[];
   readonly budgets: readonly StoredBudget[];
-  readonly retiring: readonly string[];
+  readonly retiring: readonly (readonly [string, string])[];
   readonly time: number;
 }
 
@@ -36,7 +36,8 @@
 export class SiteState {
   readonly turns = new TurnTree();
   readonly budgets = new Budgets();
-  readonly #retiring = new Set<string>();
+  /** Incarnations of stores that are to be emptied, by name. */
+  readonly #retiring = new Map<string, string>();
   #document: ReplaceDocument | undefined;
   #time = 0;
   #sweptAt = 0;
@@ -58,8 +59,8 @@
     return this.#time;
   }
 
-  /** Names of stores that are to be emptied. */
-  get retiring(): ReadonlySet<string> {
+  /** Incarnations of stores that are to be emptied, by name. */
+  get retiring(): ReadonlyMap<string, string> {
     return this.#retiring;
   }
 
@@ -87,7 +88,9 @@
     this.turns.restore(stored.turns);
     this.budgets.restore(stored.budgets);
     this.#retiring.clear();
-    for (const name of stored.retiring) this.#retiring.add(name);
+    for (const [name, incarnation] of stored.retiring) {
+      this.#retiring.set(name, incarnation);
+    }
     this.#time = stored.time;
     this.#document = stored.document ?? undefined;
     if (this.#document !== undefined) this.onDocument(this.#document.document);
@@ -97,7 +100,9 @@
     if (command.kind === "begin") return this.#begin(command);
     if (command.kind === "end") return this.#end(command);
     if (command.kind === "document") return this.#replaceDocument(command);
-    if (command.kind === "retire") this.#retiring.add(command.name);
+    if (command.kind === "retire") {
+      this.#retiring.set(command.name, command.incarnation);
+    }
     return "OK";
   }
 
--- a/packages/sessions/src/site_state_test.ts
+++ b/packages/sessions/src/site_state_test.ts
@@ -143,12 +143,12 @@
   state.apply(end("a"));
   state.apply(begin("b"));
   state.apply(begin("c"));
-  state.apply({ kind: "retire", name: "store-1" });
+  state.apply({ kind: "retire", name: "store-1", incarnation: "i-1" });
   const copy = new SiteState();
   copy.restore(state.takeSnapshot());
   t.equal(copy.documentVersion, 3);
   t.equal(String(copy.document?.source), "three");
-  t.ok(copy.retiring.has("store-1"));
+  t.equal(copy.retiring.get("store-1"), "i-1");
   t.equal(String(copy.turns.listBack("a")[0]?.output), "out-a");
   t.equal(copy.apply(begin("d")).code, "OK");
   t.equal(copy.apply(begin("e")).code, "BUDGET_EXCEEDED");
--- a/packages/store/src/site_owner.ts
+++ b/packages/store/src/site_owner.ts
@@ -132,14 +132,19 @@
   /** Starts to empty a store. */
   async retire(request: RetireStore): Promise<Outcome<Nothing>> {
     const { state, leastStores } = this.#options;
-    if (state.retiring.has(request.name)) return Ok({});
     const members = this.#options.getGroup()?.membership.members ?? [];
-    if (!members.some((member) => member.replicaId === request.name)) {
+    const known = members.find((member) => member.replicaId === request.name);
+    const asked = state.retiring.get(request.name);
+    // Once it is no member any more, the same order again is still carried out.
+    if (asked !== undefined && (known?.incarnation ?? asked) === asked) {
+      return Ok({});
+    }
+    if (known === undefined) {
       return fail(RESULT_CODES.DAEMON_NOT_FOUND, "No store has this name");
     }
+    const retiring = new Set(state.retiring.values());
     const left = members.filter((member) =>
-      member.replicaId !== request.name &&
-      !state.retiring.has(member.replicaId)
+      member !== known && !retiring.has(member.incarnation)
     );
     if (left.length < leastStores) {
       return fail(
@@ -147,7 +152,9 @@
         `Only ${left.length} stores would be left`,
       );
     }
-    const result = await this.#propose({ kind: "retire", name: request.name });
+    const { incarnation } = known;
+    const { name } = request;
+    const result = await this.#propose({ kind: "retire", name, incarnation });
     return result.err ? result : Ok({});
   }
 
@@ -159,12 +166,13 @@
     if (result.err) return result;
     const group = this.#options.getGroup();
     if (group === undefined) return this.#refuse();
-    if (!this.#options.state.retiring.has(request.name)) {
+    const asked = this.#options.state.retiring.get(request.name);
+    if (asked === undefined) {
       return fail(RESULT_CODES.DAEMON_NOT_FOUND, "No such retirement");
     }
     const { membership } = group;
     const isMember = membership.members.some((member) =>
-      member.replicaId === request.name
+      member.incarnation === asked
     );
     const isSettled = membership.changedAt <= group.appliedIndex &&
       membership.voters.length >= this.#options.leastStores;
--- a/packages/store/src/store_replicas.ts
+++ b/packages/store/src/store_replicas.ts
@@ -57,9 +57,9 @@
       await this.#options.task.claimFounding();
   }
 
-  /** Stores that an operator has asked to be emptied. */
+  /** Incarnations of stores that an operator has asked to be emptied. */
   listRetiring(): ReadonlySet<string> {
-    return this.#options.state.retiring;
+    return new Set(this.#options.state.retiring.values());
   }
 
   #listSince(since: number): readonly ReplicaAddress[] {
