--- a/scripts/check_names.js
+++ b/scripts/check_names.js
@@ -1,7 +1,7 @@
 /** Fails if a name of the users' platform stands outside the folders that may know it. */
 
 const { execFileSync } = require("node:child_process");
-const { readFileSync } = require("node:fs");
+const { existsSync, readFileSync } = require("node:fs");
 const { join } = require("node:path");
 
 const root = join(__dirname, "..");
@@ -26,7 +26,8 @@
 
 const files = execFileSync("git", ["ls-files"], { cwd: root, encoding: "utf8" })
   .split("\n")
-  .filter((file) => TEXT.test(file) && !ALLOWED.test(file) && file !== SELF);
+  .filter((file) => TEXT.test(file) && !ALLOWED.test(file) && file !== SELF)
+  .filter((file) => existsSync(join(root, file)));
 let found = 0;
 for (const file of files) {
   const lines = readFileSync(join(root, file), "utf8").split("\n");
