--- a/packages/core/src/settings/schema.ts
+++ b/packages/core/src/settings/schema.ts
@@ -328,7 +328,7 @@
     ),
     idleMilliseconds: numberField(
       "Rest after which a connection to an upstream is closed.",
-      { fallback: 8_000, least: 10, most: 600_000 },
+      { fallback: 20_000, least: 10, most: 600_000 },
     ),
   },
   store: {
--- a/packages/gateway/src/upstreams/upstream.ts
+++ b/packages/gateway/src/upstreams/upstream.ts
@@ -57,6 +57,12 @@
     return !this.#isGone && !this.instance.leaving && now >= this.#restsUntil;
   }
 
+  /** True if a connection rests that the next request can use. */
+  hasResting(now: number): boolean {
+    const newest = this.#resting.at(-1);
+    return newest !== undefined && newest.until > now;
+  }
+
   /** Mean time of an answer, drawn towards the given one as it ages. */
   findMean(now: number, common: number): number {
     if (this.#meanMilliseconds < 0) return common;
--- a/packages/gateway/src/upstreams/upstream_table.ts
+++ b/packages/gateway/src/upstreams/upstream_table.ts
@@ -20,6 +20,9 @@
  */
 const OTHER_DOMAIN = 1.3;
 
+/** How much worse an upstream looks to which a connection must be made first. */
+const NEW_CONNECTION = 1.1;
+
 /** What the choice goes by. */
 export interface ChoiceOptions {
   readonly service: string;
@@ -91,7 +94,8 @@
       upstream.findMean(now, common) * (1 + findLoad(upstream, options)) *
       (upstream.instance.failureDomain === this.#failureDomain
         ? 1
-        : OTHER_DOMAIN);
+        : OTHER_DOMAIN) *
+      (upstream.hasResting(now) ? 1 : NEW_CONNECTION);
     const scores = new Map(
       usable.map((upstream) => [upstream, score(upstream)]),
     );
