Hold a request for the first document after a start

Change: a request waits for the first document as it does for a leader. The pause between two elections of an overdue replica is drawn by chance, so that replicas do not ask in step. Each site of the gateway tests has a key of its own.

Ruled out: no patience at all after a start; it was taken back, untested on its own: runs with it hung, but processes that an interrupted run had left behind hung them too (35 were found; the key keeps them strangers now).

--- a/packages/bench/src/gateways/gateway_site.ts
+++ b/packages/bench/src/gateways/gateway_site.ts
@@ -1,5 +1,6 @@
 /** A small site of gateways and stores in processes of their own, for tests. */
 
+import { randomUUID } from "node:crypto";
 import { mkdirSync, rmSync, writeFileSync } from "node:fs";
 import { join } from "node:path";
 import type { RoutingDocument, UpstreamInstance } from "@mallowlift/core";
@@ -33,6 +34,8 @@
   readonly gateways: number;
   readonly stores: number;
   readonly upstreams: readonly OpaqueUpstream[];
+  /** How long a request waits for a leader or a document, ms. */
+  readonly waitMilliseconds?: number;
 }
 
 /** Gateways and stores with an instance list in a file. */
@@ -40,6 +43,7 @@
   readonly gateways: SiteDaemon[] = [];
   readonly stores: SiteDaemon[] = [];
   readonly #plan: GatewaySitePlan;
+  readonly #key = randomUUID();
   #seeds = "";
 
   private constructor(plan: GatewaySitePlan) {
@@ -161,7 +165,8 @@
       },
       network: {
         listen: `127.0.0.1:${listen}`,
-        shared_key: SITE_KEY,
+        // Daemons that an interrupted run left behind must stay strangers.
+        shared_key: `${SITE_KEY}-${this.#key}`,
         seeds: this.#seeds,
         directory_milliseconds: 200,
       },
@@ -169,7 +174,7 @@
         callers_listen: `127.0.0.1:${callers}`,
         operators_listen: `127.0.0.1:${operators}`,
         drain_milliseconds: 300,
-        leader_wait_milliseconds: 5_000,
+        leader_wait_milliseconds: this.#plan.waitMilliseconds ?? 5_000,
       },
       store: {
         data_folder: daemon.dataFolder,
--- a/packages/bench/src/gateways/gateway_test.ts
+++ b/packages/bench/src/gateways/gateway_test.ts
@@ -11,7 +11,11 @@
   readonly upstreams: readonly OpaqueUpstream[];
 }
 
-async function start(t: Test, gateways: number): Promise<Running> {
+async function start(
+  t: Test,
+  gateways: number,
+  waitMilliseconds?: number,
+): Promise<Running> {
   const upstreams = [new OpaqueUpstream("u-1"), new OpaqueUpstream("u-2")];
   for (const upstream of upstreams) await upstream.start();
   const site = await GatewaySite.start({
@@ -19,6 +23,7 @@
     gateways,
     stores: 3,
     upstreams,
+    waitMilliseconds,
   }, TEST_DOCUMENT);
   t.teardown(async () => {
     await site.stop();
@@ -251,3 +256,19 @@
   }
   t.fail("the new document is not in force");
 });
+
+test("after a loss of everything the first request that is taken is served", async (t) => {
+  const running = await start(t, 1, 60_000);
+  const { site } = running;
+  const url = site.gateways[0]?.callersUrl ?? "";
+  for (const daemon of site.daemons) daemon.process.signal("SIGKILL");
+  for (const daemon of site.daemons) await daemon.process.waitForExit();
+  for (const daemon of site.daemons) site.restart(daemon);
+  let status = 0;
+  while (status === 0) {
+    const seen = await callGateway(url, { callId: "first", path: "/read/x" });
+    status = seen.status;
+    await sleep(20);
+  }
+  t.equal(status, 200);
+});
--- a/packages/consensus/src/group/replicated_group.ts
+++ b/packages/consensus/src/group/replicated_group.ts
@@ -305,7 +305,9 @@
       const timeout = least * (1 + Math.random());
       const heardFor = performance.now() - this.#heardAt;
       const rest = this.#leadership === undefined ? timeout - heardFor : least;
-      await sleep(Math.max(rest, least / 4), this.#stopped.signal);
+      // Chance keeps replicas that are all overdue from asking in step.
+      const pause = least * (0.1 + 0.6 * Math.random());
+      await sleep(Math.max(rest, pause), this.#stopped.signal);
       if (this.#stopped.signal.aborted) return;
       const now = performance.now();
       if (this.#leadership !== undefined) {
--- a/packages/core/src/settings/schema.ts
+++ b/packages/core/src/settings/schema.ts
@@ -286,7 +286,7 @@
       fallback: "127.0.0.1:0",
     }),
     leaderWaitMilliseconds: numberField(
-      "Longest time that a request waits for the leader of the stores.",
+      "Longest time that a request waits for the leader of the stores, or for the first document.",
       { fallback: 2_500, least: 0, most: 60_000 },
     ),
     storeCallMilliseconds: numberField(
--- a/packages/gateway/src/gateway_role.ts
+++ b/packages/gateway/src/gateway_role.ts
@@ -93,6 +93,8 @@
       maxRequests: gateway.maxRequests,
       dialect: options.callerDialect,
       getRoutes: () => this.#follower.routes,
+      waitForRoutes: (limit) => this.#follower.waitForRoutes(limit),
+      waitMilliseconds: gateway.leaderWaitMilliseconds,
       run: (call) => this.#run(call),
       random,
       findListAge: (now) => this.#follower.findListAge(now),
--- a/packages/gateway/src/http/caller_server.ts
+++ b/packages/gateway/src/http/caller_server.ts
@@ -52,6 +52,12 @@
   readonly maxRequests: number;
   readonly dialect: CallerDialect;
   readonly getRoutes: () => RouteTable | undefined;
+  /** Waits for the first document; undefined if it does not come in time. */
+  readonly waitForRoutes: (
+    limitMilliseconds: number,
+  ) => Promise<RouteTable | undefined>;
+  /** Longest wait for the first document, ms. */
+  readonly waitMilliseconds: number;
   readonly run: (call: OpenCall) => Promise<void>;
   readonly random: () => number;
   /** Time since the instance list was read, ms. */
@@ -125,6 +131,10 @@
     const routes = this.#options.getRoutes();
     const limits = routes?.document.limits ?? FIRST_LIMITS;
     const body = await readBody(request, limits.maxBodyBytes);
+    // A caller has few tries, and a document comes soon after a start.
+    if (routes === undefined) {
+      await this.#options.waitForRoutes(this.#options.waitMilliseconds);
+    }
     const call = body.err
       ? body
       : this.#openCall({ request, response, arrivedAt, body: body.val });
--- a/packages/gateway/src/site/site_follower.ts
+++ b/packages/gateway/src/site/site_follower.ts
@@ -7,6 +7,7 @@
   type FollowReply,
   type Logger,
   sleep,
+  WakeSignal,
 } from "@mallowlift/core";
 import type { UpstreamTable } from "../upstreams/upstream_table.ts";
 import { RouteTable } from "../routing/route_table.ts";
@@ -33,6 +34,7 @@
   readonly name = "follower";
   readonly #options: SiteFollowerOptions;
   readonly #stopped = new AbortController();
+  readonly #routed = new WakeSignal();
   #routes: RouteTable | undefined;
   #listRevision = "";
   #listReadAt = -Infinity;
@@ -48,6 +50,19 @@
     return this.#routes;
   }
 
+  /** The routes in force, waited for if there are none yet. */
+  async waitForRoutes(
+    limitMilliseconds: number,
+  ): Promise<RouteTable | undefined> {
+    const until = performance.now() + limitMilliseconds;
+    while (this.#routes === undefined) {
+      const left = until - performance.now();
+      if (left <= 0) break;
+      await this.#routed.wait(left);
+    }
+    return this.#routes;
+  }
+
   /** Time since the leader was heard, ms. */
   findSilence(now: number): number {
     return now - this.#heardAt;
@@ -129,6 +144,7 @@
     const inForce = this.#routes?.document.version ?? -1;
     if (reply.document !== undefined && reply.document.version > inForce) {
       this.#routes = new RouteTable(reply.document);
+      this.#routed.wake();
       logger.info("Document in force", {
         version: reply.document.version,
         routes: reply.document.routes.length,
