Let mallowctl replace the routing document and empty a store

Cause: the gateways' operator interface had no command, and retirement no test with real processes.

Conclusion: the daemons' code is unchanged.

--- a/packages/cli/src/cli_app.ts
+++ b/packages/cli/src/cli_app.ts
@@ -14,6 +14,12 @@
   getResource,
   listResources,
 } from "./commands/resource_commands.ts";
+import {
+  replaceRouting,
+  retireStore,
+  showRetirement,
+  showRouting,
+} from "./commands/gateway_commands.ts";
 import { explainRequest } from "./commands/explain_command.ts";
 import { readNumber } from "./number_option.ts";
 import {
@@ -34,6 +40,8 @@
   mallowctl drain engine-2
   mallowctl delete priority office --version 2
   mallowctl watch --from 0
+  mallowctl --entry http://127.0.0.1:8081 routing replace routing.json
+  mallowctl --entry http://127.0.0.1:8081 store retire store-2
   mallowctl explain 9c41d07be2a35f68 gateway-1.log gateway-2.log
   mallowctl check-settings /etc/mallowlift/entry.ini
 
@@ -69,6 +77,7 @@
     new CommandContext(program.opts<GlobalOptions>(), output);
   addResourceCommands(program, createContext);
   addSiteCommands(program, createContext);
+  addGatewayCommands(program, createContext);
   return program;
 }
 
@@ -143,6 +152,30 @@
     .action((file: string) => checkSettings(createContext(), file));
 }
 
+function addGatewayCommands(
+  program: Command,
+  createContext: () => CommandContext,
+): void {
+  const routing = program.command("routing").description(
+    "the routing document of a site of gateways",
+  );
+  routing.command("show").description("show the document in force")
+    .action(() => showRouting(createContext()));
+  routing.command("replace <file>").description(
+    "put a whole document in force; the highest version wins",
+  )
+    .action((file: string) => replaceRouting(createContext(), file));
+  const store = program.command("store").description(
+    "the stores behind the gateways",
+  );
+  store.command("retire <name>").description("empty a store for good")
+    .action((name: string) => retireStore(createContext(), name));
+  store.command("retirement <name>").description(
+    "show whether a retired store may be taken away",
+  )
+    .action((name: string) => showRetirement(createContext(), name));
+}
+
 /** Output of a real process. */
 export const PROCESS_OUTPUT: CommandOutput = {
   print: (line) => void process.stdout.write(`${line}\n`),
--- a/packages/cli/src/client/operator_client.ts
+++ b/packages/cli/src/client/operator_client.ts
@@ -20,7 +20,7 @@
 
 /** A request of an operator. */
 export interface OperatorRequest {
-  readonly method: "GET" | "PUT" | "DELETE";
+  readonly method: "GET" | "PUT" | "POST" | "DELETE";
   readonly path: string;
   readonly body?: object;
 }
