--- a/packages/bench/src/gateways/gateway_site.ts
+++ b/packages/bench/src/gateways/gateway_site.ts
@@ -44,6 +44,8 @@
   readonly stores: SiteDaemon[] = [];
   readonly #plan: GatewaySitePlan;
   readonly #key = randomUUID();
+  /** Ports of each daemon: for other daemons, health, callers, operators. */
+  readonly #ports = new Map<string, readonly number[]>();
   #seeds = "";
 
   private constructor(plan: GatewaySitePlan) {
@@ -140,7 +142,7 @@
       const ports = await findFreePorts(4);
       const daemon = createDaemon(folder, name, ports);
       (isGateway ? this.gateways : this.stores).push(daemon);
-      this.#listens.set(name, ports);
+      this.#ports.set(name, ports);
       if (isGateway) {
         this.#seeds += `${this.#seeds === "" ? "" : ","}127.0.0.1:${ports[0]}`;
       }
@@ -148,11 +150,9 @@
     for (const daemon of this.daemons) this.#writeSettings(daemon, "yes");
   }
 
-  readonly #listens = new Map<string, readonly number[]>();
-
   #writeSettings(daemon: SiteDaemon, firstStart: "yes" | "no"): void {
-    const [listen, health, callers, operators] =
-      this.#listens.get(daemon.name) ?? [];
+    const [listen, health, callers, operators] = this.#ports.get(daemon.name) ??
+      [];
     const isGateway = this.gateways.includes(daemon);
     const number = this.daemons.indexOf(daemon);
     const text = formatSettings({
