Know callers that left while they waited, and give failed claims back

Cause: since a request may wait for the first document; a caller that left meanwhile was not noticed, and its request would have been sent. Two stores that claim the founding at once could each get half of the seeds for good.

Change: a call looks at its connection when it is opened; a claim that gets too few grants gives them back. Tests for both.

--- a/packages/core/src/types/site.ts
+++ b/packages/core/src/types/site.ts
@@ -24,6 +24,8 @@
 export interface FoundingClaim {
   readonly name: string;
   readonly bootId: string;
+  /** True to give an earlier grant back, since too few were given. */
+  readonly isReturned?: boolean;
 }
 
 /** A seed's answer to a {@linkcode FoundingClaim}. */
--- a/packages/gateway/src/calls/open_call.ts
+++ b/packages/gateway/src/calls/open_call.ts
@@ -66,11 +66,14 @@
       () => this.#controller.abort(CALL_ENDS.TIMEOUT),
       Math.max(0, this.deadlineAt - now),
     );
-    parts.response.on("close", () => {
+    const noteClose = () => {
       if (!parts.response.writableFinished) {
         this.#controller.abort(CALL_ENDS.LEFT);
       }
-    });
+    };
+    parts.response.on("close", noteClose);
+    // The caller may have left while its request waited to be opened.
+    if (parts.response.destroyed) noteClose();
   }
 
   /** Aborts with one of {@linkcode CALL_ENDS}. */
--- /dev/null
+++ b/packages/gateway/src/calls/open_call_test.ts
@@ -0,0 +1,46 @@
+import { Buffer } from "node:buffer";
+import { EventEmitter } from "node:events";
+import type { ServerResponse } from "node:http";
+import type { Route } from "@mallowlift/core";
+import { test } from "tap";
+import type { RouteTable } from "../routing/route_table.ts";
+import { OpenCall } from "./open_call.ts";
+
+function openCall(response: object): OpenCall {
+  const call = new OpenCall({
+    head: { method: "GET", target: "/", headers: [] },
+    facts: {
+      callId: "c",
+      patienceMilliseconds: 60_000,
+      programId: "",
+      previousTurnId: "",
+      tokenBudget: -1,
+      mostTokens: 0,
+      objectKey: "",
+    },
+    body: Buffer.alloc(0),
+    route: { timeoutMilliseconds: 60_000 } as Route,
+    table: {} as RouteTable,
+    service: "s",
+    response: response as ServerResponse,
+    arrivedAt: 0,
+  }, 0);
+  call.close();
+  return call;
+}
+
+test("a caller that left while its request waited is known to have left", (t) => {
+  const gone = { destroyed: true, writableFinished: false };
+  t.ok(openCall(Object.assign(new EventEmitter(), gone)).hasLeft);
+  t.end();
+});
+
+test("a caller leaves when its connection closes before the answer is whole", (t) => {
+  const there = { destroyed: false, writableFinished: false };
+  const response = Object.assign(new EventEmitter(), there);
+  const call = openCall(response);
+  t.notOk(call.hasLeft);
+  response.emit("close");
+  t.ok(call.hasLeft);
+  t.end();
+});
--- a/packages/membership/src/directory_task.ts
+++ b/packages/membership/src/directory_task.ts
@@ -75,19 +75,29 @@
 
   /** True once a majority of the seeds grants this daemon the founding. */
   async claimFounding(): Promise<boolean> {
-    const { directory, links, listSeeds } = this.#options;
-    const seeds = listSeeds();
+    const seeds = this.#options.listSeeds();
+    const answers = await this.#askSeeds(seeds, false);
+    const granted = answers.filter((isGranted) => isGranted).length;
+    if (granted > seeds.length / 2) return true;
+    // Two that claim at once would otherwise block each other for good.
+    await this.#askSeeds(seeds, true);
+    return false;
+  }
+
+  async #askSeeds(
+    seeds: readonly string[],
+    isReturned: boolean,
+  ): Promise<readonly boolean[]> {
+    const { directory, links } = this.#options;
     const { name, bootId } = directory.self;
-    const answers = await Promise.all(seeds.map(async (seed) => {
+    return await Promise.all(seeds.map(async (seed) => {
       const answer = await links.get(seed).call(
         "directory.claim",
-        { name, bootId },
+        { name, bootId, isReturned },
         { timeoutMilliseconds: CLAIM_MILLISECONDS },
       );
       return answer.ok && answer.val.granted;
     }));
-    const granted = answers.filter((isGranted) => isGranted).length;
-    return granted > seeds.length / 2;
   }
 
   async #run(startedAt: number): Promise<void> {
--- a/packages/membership/src/directory_test.ts
+++ b/packages/membership/src/directory_test.ts
@@ -42,6 +42,10 @@
   t.ok(grants.claim({ name: "a", bootId: "1" }).granted);
   t.ok(grants.claim({ name: "a", bootId: "1" }).granted);
   t.notOk(grants.claim({ name: "b", bootId: "1" }).granted);
+  grants.claim({ name: "b", bootId: "1", isReturned: true });
+  t.notOk(grants.claim({ name: "b", bootId: "1" }).granted, "not its own");
+  grants.claim({ name: "a", bootId: "1", isReturned: true });
+  t.ok(grants.claim({ name: "b", bootId: "1" }).granted, "given back");
   const later = new FounderGrants(directory, false);
   t.notOk(later.claim({ name: "a", bootId: "1" }).granted);
   t.end();
--- a/packages/membership/src/founder_grants.ts
+++ b/packages/membership/src/founder_grants.ts
@@ -25,6 +25,10 @@
     const isHeld = holder !== undefined && holder.name !== request.name &&
       this.#directory.find(holder.name) !== undefined;
     if (isHeld) return { granted: false };
+    if (request.isReturned === true) {
+      this.#holder = undefined;
+      return { granted: false };
+    }
     this.#holder = request;
     return { granted: true };
   }
