Split the fake engine: cache events, load samples, streams

Cause: fake_engine.ts held four jobs in 445 lines.

Change: three modules with one job each; nothing of what it does.

Conclusion: only stand-ins are changed.

--- a/packages/mocks/src/engine/fake_engine.ts
+++ b/packages/mocks/src/engine/fake_engine.ts
@@ -1,6 +1,5 @@
 /** A model engine in small: continuous batching, prefix cache, priorities, orders. */
 
-import { PassThrough } from "node:stream";
 import {
   type Request,
   type ResponseObject,
@@ -9,8 +8,11 @@
   type ServerRoute,
 } from "@hapi/hapi";
 import { ABORTED, sleep } from "@mallowlift/core";
+import { CacheEvents } from "./cache_events.ts";
 import { Generation, type GenerationRequest } from "./engine_stream.ts";
+import { LoadSamples } from "./load_samples.ts";
 import { type ExportedPrefix, PrefixCache } from "./prefix_cache.ts";
+import { type StreamFaults, streamGeneration } from "./stream_generation.ts";
 
 const PREFILL_TOKENS_PER_STEP = 512;
 const KEEP_MILLISECONDS = 10_000;
@@ -49,30 +51,11 @@
 };
 
 /** Faults that a test can switch on. */
-export interface EngineFaults {
-  /** Breaks each stream off after so many events; 0 for never. */
-  breakAfterEvents: number;
-  /** Sends each event twice. */
-  duplicateEvents: boolean;
-  /** Sends one event of another stream into each stream. */
-  crossEvents: boolean;
+export interface EngineFaults extends StreamFaults {
   /** Stops generating without closing anything. */
   frozen: boolean;
 }
 
-interface CacheEvent {
-  readonly sequence: number;
-  readonly at: number;
-  readonly session: string;
-  readonly tokens: number;
-}
-
-interface LoadSample {
-  readonly at: number;
-  readonly running: number;
-  readonly waiting: number;
-}
-
 interface EngineOrderBody {
   readonly action: string;
   readonly target: string;
@@ -97,8 +80,8 @@
   readonly #server: Server;
   readonly #cache: PrefixCache;
   readonly #generations = new Map<string, Generation>();
-  readonly #events: CacheEvent[] = [];
-  readonly #loads: LoadSample[] = [];
+  readonly #events: CacheEvents;
+  readonly #loads: LoadSamples;
   readonly #models: Set<string>;
   readonly #stopped = new AbortController();
   #waiting: Generation[] = [];
@@ -106,7 +89,6 @@
   #role = "mixed";
   #highestFencing = 0;
   #stepping = false;
-  #sequence = 0;
   generations = 0;
   promptTokens = 0;
   cachedTokens = 0;
@@ -118,6 +100,8 @@
     this.#options = { ...DEFAULT_ENGINE, ...options };
     this.#models = new Set(this.#options.models);
     this.#cache = new PrefixCache(this.#options.cacheTokens);
+    this.#events = new CacheEvents(this.#options);
+    this.#loads = new LoadSamples(this.#options.loadLagMilliseconds);
     this.#server = new Server({
       ...listen,
       compression: false,
@@ -184,8 +168,12 @@
       {
         method: "GET",
         path: "/v1/cache/events",
-        handler: (request: Request) =>
-          this.#listEvents(Number(request.query.after ?? 0), Date.now()),
+        handler: (request: Request) => ({
+          events: this.#events.list(
+            Number(request.query.after ?? 0),
+            Date.now(),
+          ),
+        }),
       },
       {
         method: "GET",
@@ -236,7 +224,7 @@
     this.#waiting.push(generation);
     this.generations++;
     if (!this.#stepping) void this.#runSteps();
-    return this.#stream(generation, 0, toolkit);
+    return this.#answerStream(generation, 0, toolkit);
   }
 
   #resume(request: Request, toolkit: ResponseToolkit): ResponseObject {
@@ -244,7 +232,8 @@
     if (generation === undefined) {
       return toolkit.response({}).code(HTTP_NOT_FOUND);
     }
-    return this.#stream(generation, Number(request.query.offset ?? 0), toolkit);
+    const offset = Number(request.query.offset ?? 0);
+    return this.#answerStream(generation, offset, toolkit);
   }
 
   #cancel(id: string): object {
@@ -253,52 +242,13 @@
     return {};
   }
 
-  #stream(
+  #answerStream(
     generation: Generation,
     from: number,
     toolkit: ResponseToolkit,
   ): ResponseObject {
-    const output = new PassThrough();
-    let offset = from;
-    let events = 0;
-    const send = (event: object) => {
-      output.write(`data: ${JSON.stringify(event)}\n\n`);
-      if (this.faults.duplicateEvents) {
-        output.write(`data: ${JSON.stringify(event)}\n\n`);
-      }
-    };
-    const grow = () => {
-      if (output.destroyed || output.writableEnded) return;
-      const text = generation.text.slice(offset);
-      if (text !== "") {
-        send({ id: generation.request.id, offset, text });
-        offset += text.length;
-        events++;
-      }
-      if (this.faults.crossEvents && events === 2) {
-        send({ id: "other", offset: 0, text: "foreign" });
-      }
-      const breaks = this.faults.breakAfterEvents;
-      if (breaks > 0 && events >= breaks) {
-        output.destroy();
-        return;
-      }
-      if (!generation.finished) return;
-      send({
-        id: generation.request.id,
-        offset,
-        text: "",
-        ...describeEnd(generation),
-      });
-      output.write("data: [DONE]\n\n");
-      output.end();
-    };
-    generation.onGrowth = grow;
-    output.on("error", () => undefined);
-    output.write(": started\n\n");
-    if (generation.text.length > offset || generation.finished) {
-      setImmediate(grow);
-    }
+    const { faults } = this;
+    const output = streamGeneration(generation, from, { faults });
     return toolkit.response(output).type("text/event-stream");
   }
 
@@ -315,7 +265,11 @@
         if (!generation.cancelled) generation.step(now);
       }
       this.#retire(now);
-      this.#sampleLoad(now);
+      this.#loads.add({
+        at: now,
+        running: this.#running.length,
+        waiting: this.#waiting.length,
+      });
       if (this.#running.length === 0 && this.#waiting.length === 0) break;
     }
     this.#stepping = false;
@@ -347,7 +301,8 @@
       const { messages, session } = generation.request;
       const answer = { role: "assistant", content: generation.answer };
       this.#cache.use([...messages, answer], session);
-      this.#noteEvent(generation, now);
+      const tokens = generation.promptTokens + generation.generated;
+      this.#events.note(session, tokens, now);
     }
     this.#running = this.#running.filter((known) =>
       !known.finished && !known.cancelled
@@ -359,31 +314,8 @@
     }
   }
 
-  #noteEvent(generation: Generation, now: number): void {
-    this.#sequence++;
-    const { eventGap } = this.#options;
-    if (eventGap > 0 && this.#sequence % eventGap === 0) return;
-    const tokens = generation.promptTokens + generation.generated;
-    const session = generation.request.session;
-    this.#events.push({ sequence: this.#sequence, at: now, session, tokens });
-    if (this.#events.length > 1_000) this.#events.shift();
-  }
-
-  #sampleLoad(now: number): void {
-    this.#loads.push({
-      at: now,
-      running: this.#running.length,
-      waiting: this.#waiting.length,
-    });
-    const oldest = now - this.#options.loadLagMilliseconds - 100;
-    while (
-      (this.#loads[0]?.at ?? Infinity) < oldest && this.#loads.length > 1
-    ) this.#loads.shift();
-  }
-
   #describeLoad(now: number): object {
-    const until = now - this.#options.loadLagMilliseconds;
-    const sample = this.#loads.findLast((known) => known.at <= until);
+    const sample = this.#loads.find(now);
     return {
       models: this.models,
       step_milliseconds: this.#options.stepMilliseconds,
@@ -394,14 +326,6 @@
     };
   }
 
-  #listEvents(after: number, now: number): object {
-    const until = now - this.#options.eventLagMilliseconds;
-    const events = this.#events.filter((event) =>
-      event.sequence > after && event.at <= until
-    );
-    return { events };
-  }
-
   #release(session: string): object {
     this.#cache.release(session);
     return {};
@@ -432,14 +356,3 @@
     return toolkit.response({ models: this.models, role: this.#role });
   }
 }
-
-function describeEnd(generation: Generation): object {
-  return {
-    finish: "length",
-    usage: {
-      promptTokens: generation.promptTokens,
-      cachedTokens: generation.cachedTokens,
-      completionTokens: generation.generated,
-    },
-  };
-}
