Keep a founding grant although its holder has not been heard yet

Their seed had started after them; it forgot a grant whose holder was not in its directory yet, and granted a second one.

Ruled out: load by itself; the logs of the left processes show both founders.

Change: a grant stands for a minute whether its holder is known or not; a claim that fails gives it back. The test fails on the code before.

--- a/packages/membership/src/directory_task.ts
+++ b/packages/membership/src/directory_task.ts
@@ -57,7 +57,7 @@
         return Promise.resolve(reply);
       },
       "directory.claim": (request) =>
-        Promise.resolve(Ok(grants.claim(request))),
+        Promise.resolve(Ok(grants.claim(request, performance.now()))),
     };
   }
 
--- a/packages/membership/src/directory_test.ts
+++ b/packages/membership/src/directory_test.ts
@@ -39,14 +39,22 @@
     { ...createRecord("b"), ageMilliseconds: 0 },
   ], 0);
   const grants = new FounderGrants(directory, true);
-  t.ok(grants.claim({ name: "a", bootId: "1" }).granted);
-  t.ok(grants.claim({ name: "a", bootId: "1" }).granted);
-  t.notOk(grants.claim({ name: "b", bootId: "1" }).granted);
-  grants.claim({ name: "b", bootId: "1", isReturned: true });
-  t.notOk(grants.claim({ name: "b", bootId: "1" }).granted, "not its own");
-  grants.claim({ name: "a", bootId: "1", isReturned: true });
-  t.ok(grants.claim({ name: "b", bootId: "1" }).granted, "given back");
+  t.ok(grants.claim({ name: "a", bootId: "1" }, 0).granted);
+  t.ok(grants.claim({ name: "a", bootId: "1" }, 0).granted);
+  t.notOk(grants.claim({ name: "b", bootId: "1" }, 0).granted);
+  grants.claim({ name: "b", bootId: "1", isReturned: true }, 0);
+  t.notOk(grants.claim({ name: "b", bootId: "1" }, 0).granted, "not its own");
+  grants.claim({ name: "a", bootId: "1", isReturned: true }, 0);
+  t.ok(grants.claim({ name: "b", bootId: "1" }, 0).granted, "given back");
   const later = new FounderGrants(directory, false);
-  t.notOk(later.claim({ name: "a", bootId: "1" }).granted);
+  t.notOk(later.claim({ name: "a", bootId: "1" }, 0).granted);
+  t.end();
+});
+
+test("a grant stands although its holder has not been heard yet", (t) => {
+  const grants = new FounderGrants(new Directory(createRecord("seed")), true);
+  t.ok(grants.claim({ name: "b", bootId: "1" }, 0).granted);
+  t.notOk(grants.claim({ name: "a", bootId: "1" }, 5).granted);
+  t.ok(grants.claim({ name: "a", bootId: "1" }, 100_000).granted);
   t.end();
 });
