Put one checksum over a batch of the log, and trust no position in it

Cause, found by reading: a store wrote a batch as several records. If power took the start of the write but not its end, a whole record followed the damage, and the store refused to start for good. And a segment whose removal was undone by a loss of power, with the next one missing, made entries be placed by position, so that a replaced entry came back.

Change: a batch is one record with one checksum (format 3; format 2 is read); entries are matched by index.

Tests that fail before: "a batch that power took in its middle is cut, also if its end was written", "a segment whose removal power undid changes nothing".

--- a/packages/consensus/src/storage/data_folder.ts
+++ b/packages/consensus/src/storage/data_folder.ts
@@ -9,7 +9,9 @@
 import { type Snapshot, SnapshotStore } from "./snapshot_store.ts";
 import { type LogRecord, WriteAheadLog } from "./write_ahead_log.ts";
 
-const FORMAT_VERSION = 2;
+const FORMAT_VERSION = 3;
+/** Version 2 has no batches of records; it is read as it is. */
+const READABLE_VERSIONS: readonly number[] = [2, FORMAT_VERSION];
 
 interface IdentityFile {
   readonly format: number;
@@ -157,13 +159,8 @@
 }
 
 function replaceFrom(entries: LogEntry[], entry: LogEntry): void {
-  const first = entries[0];
-  if (first !== undefined) {
-    entries.length = Math.max(
-      0,
-      Math.min(entries.length, entry.index - first.index),
-    );
-  }
+  // A segment may be missing before this one, so positions tell no index.
+  while ((entries.at(-1)?.index ?? -Infinity) >= entry.index) entries.pop();
   entries.push(entry);
 }
 
@@ -197,7 +194,7 @@
       `Data folder belongs to replica ${found.replicaId}, not ${replicaId}`,
     );
   }
-  if (found.format !== FORMAT_VERSION) {
+  if (!READABLE_VERSIONS.includes(found.format)) {
     throw new Error(
       `Data folder has format ${found.format}, not ${FORMAT_VERSION}`,
     );
--- a/packages/consensus/src/storage/data_folder_test.ts
+++ b/packages/consensus/src/storage/data_folder_test.ts
@@ -155,3 +155,50 @@
   const waited = new Promise((resolve) => setTimeout(resolve, 20, "nothing"));
   t.equal(await Promise.race([late, failed, waited]), "nothing");
 });
+
+test("a batch that power took in its middle is cut, also if its end was written", async (t) => {
+  const path = t.testdir();
+  const first = await open(path);
+  await appendEntries(first, [createEntry(1, 1)]);
+  const [segment = ""] = listSegments(path);
+  const file = join(path, segment);
+  const synced = readFileSync(file).length;
+  await appendEntries(first, [2, 3, 4].map((index) => createEntry(index, 1)));
+  await first.log.close();
+  // Pages of one write reach the disk in any order.
+  const bytes = readFileSync(file);
+  writeFileSync(file, bytes.fill(0, synced, synced + 24));
+  const again = await open(path);
+  const indexes = again.getStored(1).entries.map((entry) => entry.index);
+  t.same(indexes, [1]);
+  await again.log.close();
+});
+
+test("a segment whose removal power undid changes nothing", async (t) => {
+  const path = t.testdir();
+  const large = 9 * 1_024 * 1_024;
+  const first = await open(path);
+  for (const index of [1, 2, 3, 4]) {
+    await appendEntries(first, [createEntry(index, 1, large)]);
+  }
+  const [oldest = ""] = listSegments(path);
+  const kept = readFileSync(join(path, oldest));
+  await appendEntries(first, [createEntry(5, 1), createEntry(6, 1)]);
+  await appendEntries(first, [createEntry(5, 2)]);
+  await first.saveSnapshot({
+    group: 1,
+    lastIndex: 4,
+    lastTerm: 1,
+    members: [],
+    state: Buffer.alloc(0),
+  });
+  await first.log.close();
+  t.notOk(listSegments(path).includes(oldest));
+  writeFileSync(join(path, oldest), kept);
+  const again = await open(path);
+  t.same(
+    again.getStored(1).entries.map((entry) => [entry.index, entry.term]),
+    [[5, 2]],
+  );
+  await again.log.close();
+});
--- a/packages/consensus/src/storage/write_ahead_log.ts
+++ b/packages/consensus/src/storage/write_ahead_log.ts
@@ -48,6 +48,15 @@
 /** One record of the log on disk. */
 export type LogRecord = EntryRecord | VoteRecord | ResetRecord;
 
+/**
+ * Records that are synced together. One checksum covers them all: power may
+ * take the start of a write and leave its end, which must count as torn.
+ */
+interface BatchRecord {
+  readonly kind: "batch";
+  readonly records: readonly LogRecord[];
+}
+
 interface Segment {
   readonly path: string;
   readonly number: number;
@@ -55,11 +64,6 @@
   readonly lastIndexes: Map<number, number>;
 }
 
-interface Waiting {
-  readonly bytes: Buffer;
-  readonly record: LogRecord;
-}
-
 const NEVER = new Promise<void>(() => undefined);
 
 /** Appends records and syncs them in batches. */
@@ -70,7 +74,7 @@
   readonly #failed: Deferred<Error> = createDeferred<Error>();
   #handle: FileHandle | undefined;
   #size = 0;
-  #waiting: Waiting[] = [];
+  #waiting: LogRecord[] = [];
   #synced: Deferred<void> = createDeferred<void>();
   /** Resolves when all that was taken for writing is synced. */
   #inFlight: Promise<void> = Promise.resolve();
@@ -114,9 +118,7 @@
     if (records.length === 0 && this.#waiting.length === 0) {
       return this.#inFlight;
     }
-    for (const record of records) {
-      this.#waiting.push({ bytes: encodeRecord(record), record });
-    }
+    this.#waiting.push(...records);
     const synced = this.#synced.promise;
     if (!this.#writing) void this.#writeAll();
     return synced;
@@ -154,7 +156,9 @@
     if (torn) truncateSync(path, scanned.end);
     const segment: Segment = { path, number, lastIndexes: new Map() };
     this.#segments.push(segment);
-    const records = scanned.values as readonly LogRecord[];
+    const records = listRecords(
+      scanned.values as readonly (LogRecord | BatchRecord)[],
+    );
     for (const record of records) this.#note(segment, record);
     return records;
   }
@@ -177,7 +181,7 @@
     // Older segments may be pruned, so each one repeats the votes in force.
     const votes = [...this.#votes.values()];
     if (votes.length === 0) return;
-    const bytes = Buffer.concat(votes.map(encodeRecord));
+    const bytes = encodeBatch(votes);
     await writeWhole(this.#handle, bytes);
     await this.#handle.datasync();
     this.#size = bytes.length;
@@ -221,8 +225,8 @@
     if (segment === undefined || handle === undefined) {
       throw new Error("The log is not open");
     }
-    const bytes = Buffer.concat(batch.map((waiting) => waiting.bytes));
-    for (const waiting of batch) this.#note(segment, waiting.record);
+    const bytes = encodeBatch(batch);
+    for (const record of batch) this.#note(segment, record);
     await writeWhole(handle, bytes);
     await handle.datasync();
     this.#size += bytes.length;
@@ -230,6 +234,24 @@
   }
 }
 
+function encodeBatch(records: readonly LogRecord[]): Buffer {
+  const [only] = records;
+  if (records.length === 1 && only !== undefined) return encodeRecord(only);
+  const batch: BatchRecord = { kind: "batch", records };
+  return encodeRecord(batch);
+}
+
+function listRecords(
+  values: readonly (LogRecord | BatchRecord)[],
+): readonly LogRecord[] {
+  const records: LogRecord[] = [];
+  for (const value of values) {
+    if (value.kind === "batch") records.push(...value.records);
+    else records.push(value);
+  }
+  return records;
+}
+
 /** A write may take only a part of the bytes. */
 async function writeWhole(handle: FileHandle, bytes: Buffer): Promise<void> {
   let written = 0;
