Add a soak of gateways and stores; a spare store can be healthy

The soak runs real daemons behind proxies, with three series of faults that overlap, callers whose programs grow, fork and leave, and operators who race and resend. It checks nine promises from what callers and upstreams see.

Now a learner beside enough voters is a spare one, and healthy once it follows.

--- /dev/null
+++ b/packages/bench/src/gateway_soak/document_operator.ts
@@ -0,0 +1,98 @@
+/** Two operators who replace the document, resend, and read it back. */
+
+import { sleep } from "@mallowlift/core";
+import type { GatewaySite } from "../gateways/gateway_site.ts";
+import { TEST_DOCUMENT } from "../gateways/test_document.ts";
+import type { Random } from "../soak/random.ts";
+import { type CallerRecords, PROMISES } from "./caller_records.ts";
+
+const PAUSE_MILLISECONDS = 400;
+/** Longest wait for an answer, ms. */
+const ANSWER_MILLISECONDS = 2_000;
+
+/** What the operators work with. */
+export interface DocumentOperatorOptions {
+  readonly site: GatewaySite;
+  readonly random: Random;
+  readonly records: CallerRecords;
+  readonly isOver: () => boolean;
+}
+
+/** Races documents of rising versions against each other. */
+export class DocumentOperators {
+  readonly #options: DocumentOperatorOptions;
+  /** Content of every document that was sent, by version. */
+  readonly #sent = new Map<number, string>();
+  #version = TEST_DOCUMENT.version;
+  #acknowledged = 0;
+
+  constructor(options: DocumentOperatorOptions) {
+    this.#options = options;
+    this.#sent.set(this.#version, JSON.stringify(TEST_DOCUMENT));
+  }
+
+  /** Runs until the soak is over. */
+  async run(): Promise<void> {
+    while (!this.#options.isOver()) {
+      const versions = [++this.#version, ++this.#version];
+      await Promise.all(versions.map((version) => this.#replace(version)));
+      await this.check();
+      await sleep(PAUSE_MILLISECONDS);
+    }
+  }
+
+  /** Reads the document back; returns false if no gateway told it. */
+  async check(): Promise<boolean> {
+    const { records } = this.#options;
+    const least = this.#acknowledged;
+    const answer = await this.#send("GET", undefined);
+    if (answer === undefined) return false;
+    const { version } = JSON.parse(answer) as { readonly version: number };
+    if (version < least) {
+      records.violate(PROMISES.DOCUMENT, `read ${version} after ${least}`);
+    }
+    if (this.#sent.get(version) !== answer) {
+      records.violate(PROMISES.DOCUMENT, `version ${version} has changed`);
+    }
+    return true;
+  }
+
+  /** Sends a document, sometimes twice; an answer may be lost. */
+  async #replace(version: number): Promise<void> {
+    const { random, records } = this.#options;
+    const names = TEST_DOCUMENT.routes.map((route) => ({
+      ...route,
+      targetMilliseconds: 200 + version,
+    }));
+    const text = JSON.stringify({ ...TEST_DOCUMENT, version, routes: names });
+    this.#sent.set(version, text);
+    const rounds = random.happens(30) ? 2 : 1;
+    for (let round = 0; round < rounds; round++) {
+      if (await this.#send("PUT", text) === undefined) continue;
+      this.#acknowledged = Math.max(this.#acknowledged, version);
+      records.count("documents acknowledged");
+    }
+  }
+
+  /** Returns the body of a success; undefined after anything else. */
+  async #send(
+    method: "GET" | "PUT",
+    body: string | undefined,
+  ): Promise<string | undefined> {
+    const { random, site, records } = this.#options;
+    const gateway = random.choose(site.gateways);
+    try {
+      const answer = await fetch(`${gateway.operatorsUrl}/v1/routing`, {
+        method,
+        body: body ?? null,
+        signal: AbortSignal.timeout(ANSWER_MILLISECONDS),
+      });
+      const text = await answer.text();
+      return answer.ok ? text : undefined;
+    } catch {
+      // A gateway that is down or cut off is part of the soak.
+      records.count("orders without an answer");
+      return undefined;
+    }
+  }
+}
--- a/packages/consensus/src/group/replicated_group.ts
+++ b/packages/consensus/src/group/replicated_group.ts
@@ -114,10 +114,17 @@
     return this.#leadership !== undefined ? 0 : now - this.#heardAt;
   }
 
-  /** True if this replica counts, follows a leader and is not far behind. */
+  /**
+   * True if this replica follows a leader, is not far behind, and counts or is
+   * a spare one beside enough voters.
+   */
   isHealthy(now: number): boolean {
-    const member = this.#store.membership.find(this.#options.identity);
-    if (member === undefined || member.role === "learner") return false;
+    const { membership } = this.#store;
+    const member = membership.find(this.#options.identity);
+    const isSpare = membership.voters.length >= this.#options.voterCount;
+    if (member === undefined || (member.role === "learner" && !isSpare)) {
+      return false;
+    }
     const limit = 4 * this.#options.timing.electionMilliseconds;
     return this.findSilence(now) < limit &&
       this.#applier.appliedIndex >= this.#applier.commitIndex;
