Keep a store's memory to its state, fetch only missing turns, stream large answers

The encoder hands out slices of large blocks that it fills with all messages; a payload of the log that stays for minutes kept its whole block.

Besides, a gateway that lacked one turn of a line got the whole line again, and what a gateway holds was replicated with each begin.

Ruled out: the heap (limit 150 MB, never reached); the history itself.

Gateways name the newest turns that they hold, and are sent only later ones; if a turn was dropped meanwhile the whole line is fetched. Answers above 1 MiB are passed on, and reading stops while the caller is slower; what the caller has seen of an answer is never begun again elsewhere.

--- a/packages/bench/src/gateways/gateway_test.ts
+++ b/packages/bench/src/gateways/gateway_test.ts
@@ -1,3 +1,4 @@
+import { get } from "node:http";
 import type { RoutingDocument } from "@mallowlift/core";
 import { sleep } from "@mallowlift/core";
 import { describeOutput, OpaqueUpstream } from "@mallowlift/mocks";
@@ -282,3 +283,39 @@
   site.restart(spare);
   t.ok(await site.waitUntilCounts(spare, 30_000));
 });
+
+test("an answer of any size is passed on, and one that is cut does not look whole", async (t) => {
+  const running = await start(t, 1);
+  const url = running.site.gateways[0]?.callersUrl ?? "";
+  const whole = await callGateway(url, { callId: "l-1", path: "/read/large" });
+  t.equal(whole.status, 200);
+  t.ok(whole.whole);
+  t.equal(whole.body.length, 20 * 1_048_576);
+  t.ok(whole.body.endsWith("t"));
+  for (const upstream of running.upstreams) upstream.faults.cutsAfter = 10;
+  const cut = await callGateway(url, { callId: "l-2", path: "/read/large" });
+  t.equal(cut.status, 200);
+  t.notOk(cut.whole);
+  t.equal(countRuns(running, "l-2"), 1, "what was begun is not begun again");
+});
+
+test("a caller that reads slowly gets the whole answer", async (t) => {
+  const running = await start(t, 1);
+  const url = running.site.gateways[0]?.callersUrl ?? "";
+  const size = 20 * 1_048_576;
+  const read = await new Promise<number>((resolve) => {
+    get(`${url}/read/large`, {
+      agent: false,
+      headers: { host: "a.example", "x-call-id": "s-1" },
+    }, (answer) => {
+      t.equal(answer.headers["content-length"], String(size));
+      // The gateway has to stop reading from the upstream meanwhile.
+      setTimeout(() => {
+        let length = 0;
+        answer.on("data", (bytes: Uint8Array) => length += bytes.length);
+        answer.on("close", () => resolve(length));
+      }, 500);
+    });
+  });
+  t.equal(read, size);
+});
--- a/packages/configuration/src/configuration_state.ts
+++ b/packages/configuration/src/configuration_state.ts
@@ -104,7 +104,7 @@
   }
 
   /** Serializes the state. */
-  takeSnapshot(): Uint8Array {
+  takeSnapshot(): readonly Uint8Array[] {
     const stored: StoredConfiguration = {
       revision: this.#revision,
       resources: this.resources,
@@ -112,7 +112,7 @@
       orders: [...this.#orders.values()],
       leases: [...this.#leases.values()],
     };
-    return encode(stored);
+    return [encode(stored)];
   }
 
   /** Replaces the state by a serialized one. */
--- a/packages/configuration/src/configuration_state_test.ts
+++ b/packages/configuration/src/configuration_state_test.ts
@@ -98,7 +98,7 @@
       for (const next of orders) apply(state, next);
       state.apply({ type: "lease", upstream: "u", holder: "h" }, 9);
       const restored = new ConfigurationState();
-      restored.restore(state.takeSnapshot());
+      restored.restore(Buffer.concat(state.takeSnapshot()));
       t.same(restored.resources, state.resources);
       t.equal(restored.findLease("u")?.fencingNumber, 9);
       for (const next of orders) {
--- a/packages/consensus/src/group/applier.ts
+++ b/packages/consensus/src/group/applier.ts
@@ -125,7 +125,7 @@
       lastIndex,
       lastTerm: log.findTerm(lastIndex) ?? 0,
       members: membership.findAt(lastIndex),
-      state: stateMachine.takeSnapshot(),
+      parts: stateMachine.takeSnapshot(),
     });
     log.dropUntil(lastIndex);
     this.#snapshotting = false;
--- /dev/null
+++ b/packages/consensus/src/group/encode_payload_test.ts
@@ -0,0 +1,12 @@
+import { Buffer } from "node:buffer";
+import { decode } from "cbor-x";
+import { test } from "tap";
+import { encodePayload } from "./encode_payload.ts";
+
+test("a payload keeps no memory but its own", (t) => {
+  const command = { kind: "end", input: Buffer.from("input") };
+  const payload = encodePayload(command);
+  t.equal(payload.buffer.byteLength, payload.length);
+  t.same(decode(payload), command);
+  t.end();
+});
--- a/packages/consensus/src/group/leadership.ts
+++ b/packages/consensus/src/group/leadership.ts
@@ -235,24 +235,31 @@
 
   async #sendSnapshot(peer: PeerProgress, caller: Caller): Promise<void> {
     const { options } = this.#parts;
-    const snapshot = options.folder.snapshots.load(options.group);
+    const snapshot = await options.folder.snapshots.open(options.group);
     if (snapshot === undefined) return await sleep(RETRY_MILLISECONDS);
-    const sentAt = performance.now();
-    peer.sentAt = sentAt;
+    peer.sentAt = performance.now();
     const reply = await sendSnapshot(snapshot, {
       caller,
       term: this.term,
       from: options.identity,
       toIncarnation: peer.member.incarnation,
       isWanted: () => !this.#over && !peer.removed,
-    });
+    }).finally(() => snapshot.close());
     if (this.#over || peer.removed) return;
-    if (reply.err) return await sleep(RETRY_MILLISECONDS);
+    if (reply.err) {
+      options.logger.warn("Snapshot not sent", {
+        group: options.group,
+        to: peer.member.replicaId,
+        reason: reply.val.message,
+      });
+      return await sleep(RETRY_MILLISECONDS);
+    }
     if (reply.val.term > this.term) {
       return this.#parts.onHigherTerm(reply.val.term);
     }
     peer.heardAt = performance.now();
-    peer.matchIndex = Math.max(peer.matchIndex, snapshot.lastIndex);
+    const { lastIndex } = snapshot.point;
+    peer.matchIndex = Math.max(peer.matchIndex, lastIndex);
     peer.nextIndex = peer.matchIndex + 1;
   }
 }
--- a/packages/consensus/src/group/replicated_group.ts
+++ b/packages/consensus/src/group/replicated_group.ts
@@ -2,7 +2,6 @@
 
 import { performance } from "node:perf_hooks";
 import { Buffer } from "node:buffer";
-import { encode } from "cbor-x";
 import {
   ABORTED,
   type AppendReply,
@@ -24,6 +23,7 @@
 import { Ok } from "ts-results";
 import { type Applied, Applier } from "./applier.ts";
 import { askForVotes, type Ballot } from "./election.ts";
+import { encodePayload } from "./encode_payload.ts";
 import { EntryStore } from "./entry_store.ts";
 import type { GroupOptions } from "./group_options.ts";
 import { IncomingSnapshot } from "./incoming_snapshot.ts";
@@ -136,7 +136,7 @@
    */
   async propose(command: unknown): Promise<Outcome<Applied>> {
     if (!this.#announced || this.#handingOver) return this.#refuse();
-    return await this.#append(ENTRY_KINDS.COMMAND, encode(command));
+    return await this.#append(ENTRY_KINDS.COMMAND, encodePayload(command));
   }
 
   /** Confirms with a quorum that this replica still leads. */
--- a/packages/consensus/src/group/send_snapshot.ts
+++ b/packages/consensus/src/group/send_snapshot.ts
@@ -1,6 +1,7 @@
 /** Sends a snapshot to a member that lacks entries the leader no longer has. */
 
 import {
+  describeThrown,
   fail,
   type Outcome,
   type ReplicaIdentity,
@@ -8,7 +9,8 @@
   type SnapshotReply,
 } from "@mallowlift/core";
 import type { Caller } from "@mallowlift/transport";
-import type { Snapshot } from "../storage/snapshot_store.ts";
+import { Err } from "ts-results";
+import type { StoredSnapshot } from "../storage/snapshot_store.ts";
 
 const PART_BYTES = 262_144;
 const PART_TIMEOUT_MILLISECONDS = 5_000;
@@ -23,23 +25,22 @@
   isWanted(): boolean;
 }
 
-/** Sends a snapshot in parts and returns the answer to the last one. */
+/** Sends a snapshot part by part from its file; returns the answer to the last. */
 export async function sendSnapshot(
-  snapshot: Snapshot,
+  snapshot: StoredSnapshot,
   target: SnapshotTarget,
 ): Promise<Outcome<SnapshotReply>> {
   let offset = 0;
   while (target.isWanted()) {
-    const part = snapshot.state.subarray(offset, offset + PART_BYTES);
-    const last = offset + part.length >= snapshot.state.length;
+    const part = await snapshot.read(offset, PART_BYTES).catch(describeThrown);
+    if ("code" in part) return Err(part);
+    const last = offset + part.length >= snapshot.size;
     const reply = await target.caller.call("consensus.snapshot", {
-      group: snapshot.group,
+      ...snapshot.point,
       term: target.term,
       from: target.from,
       toIncarnation: target.toIncarnation,
-      lastIndex: snapshot.lastIndex,
-      lastTerm: snapshot.lastTerm,
-      members: snapshot.members,
+      size: snapshot.size,
       offset,
       part,
       last,
--- a/packages/consensus/src/group/state_machine.ts
+++ b/packages/consensus/src/group/state_machine.ts
@@ -4,8 +4,11 @@
 export interface StateMachine {
   /** Applies a committed command and returns the result for its proposer. */
   apply(command: unknown, index: number): unknown;
-  /** Serializes the state. */
-  takeSnapshot(): Uint8Array;
+  /**
+   * Serializes the state, in parts that are written one after the other. A
+   * part may be memory of the state itself, as long as it never changes.
+   */
+  takeSnapshot(): readonly Uint8Array[];
   /** Replaces the state by a serialized one; an empty one is the first state. */
   restore(snapshot: Uint8Array): void;
 }
--- a/packages/consensus/src/mocks/test_cluster.ts
+++ b/packages/consensus/src/mocks/test_cluster.ts
@@ -36,8 +36,8 @@
     return this.commands.length;
   }
 
-  takeSnapshot(): Uint8Array {
-    return encode(this.commands);
+  takeSnapshot(): readonly Uint8Array[] {
+    return [encode(this.commands)];
   }
 
   restore(snapshot: Uint8Array): void {
--- a/packages/consensus/src/storage/data_folder.ts
+++ b/packages/consensus/src/storage/data_folder.ts
@@ -6,11 +6,15 @@
 import { Buffer } from "node:buffer";
 import type { LogEntry, Member, ReplicaIdentity } from "@mallowlift/core";
 import { replaceFile } from "./durable_file.ts";
-import { type Snapshot, SnapshotStore } from "./snapshot_store.ts";
+import {
+  type Snapshot,
+  type SnapshotContent,
+  SnapshotStore,
+} from "./snapshot_store.ts";
 import { type LogRecord, WriteAheadLog } from "./write_ahead_log.ts";
 
 const FORMAT_VERSION = 3;
-/** Version 2 has no batches of records; it is read as it is. */
+/** Version 2 has no batches, and snapshots of one record; both are read. */
 const READABLE_VERSIONS: readonly number[] = [2, FORMAT_VERSION];
 
 interface IdentityFile {
@@ -53,10 +57,17 @@
     readonly groups: readonly number[];
   }): Promise<DataFolder> {
     mkdirSync(path, { recursive: true });
-    const identity = await readOrCreateIdentity(path, options.replicaId);
+    const { identity, format } = await readOrCreateIdentity(
+      path,
+      options.replicaId,
+    );
+    const isOldFormat = format !== FORMAT_VERSION;
     const folder = new DataFolder(path, identity);
     const records = await folder.log.open();
-    for (const group of options.groups) folder.#loadGroup(group, records);
+    for (const group of options.groups) {
+      if (isOldFormat) await folder.snapshots.convert(group);
+      folder.#loadGroup(group, records);
+    }
     return folder;
   }
 
@@ -84,20 +95,15 @@
 
   /** Writes the founding of a group. */
   async saveFounding(group: number, members: readonly Member[]): Promise<void> {
-    const snapshot = {
-      group,
-      lastIndex: 0,
-      lastTerm: 0,
-      members,
-      state: Buffer.alloc(0),
-    };
-    await this.saveSnapshot(snapshot);
+    const point = { group, lastIndex: 0, lastTerm: 0, members };
+    await this.saveSnapshot({ ...point, parts: [] });
     const stored = this.getStored(group);
+    const snapshot = { ...point, state: Buffer.alloc(0) };
     this.#stored.set(group, { ...stored, snapshot });
   }
 
   /** Saves a snapshot of the own state and drops what it makes superfluous. */
-  async saveSnapshot(snapshot: Snapshot): Promise<void> {
+  async saveSnapshot(snapshot: SnapshotContent): Promise<void> {
     await this.#inTurn(async () => {
       if (!await this.#saveIfNewer(snapshot)) return;
       await this.log.prune(this.#snapshotIndexes);
@@ -106,9 +112,10 @@
 
   /** Saves a snapshot that replaces the whole log of its group. */
   async installSnapshot(snapshot: Snapshot): Promise<void> {
-    const { group, lastIndex } = snapshot;
+    const { state, ...point } = snapshot;
+    const { group, lastIndex } = point;
     await this.#inTurn(async () => {
-      if (!await this.#saveIfNewer(snapshot)) return;
+      if (!await this.#saveIfNewer({ ...point, parts: [state] })) return;
       // Pruning waits for the reset: until then the entry at the snapshot's
       // index is needed to tell whether later entries follow from it.
       await this.log.append([{ kind: "reset", group, index: lastIndex }]);
@@ -122,7 +129,7 @@
     await turn;
   }
 
-  async #saveIfNewer(snapshot: Snapshot): Promise<boolean> {
+  async #saveIfNewer(snapshot: SnapshotContent): Promise<boolean> {
     const known = this.#snapshotIndexes.get(snapshot.group) ?? -1;
     if (snapshot.lastIndex <= known) return false;
     await this.snapshots.save(snapshot);
@@ -180,13 +187,13 @@
 async function readOrCreateIdentity(
   folder: string,
   replicaId: string,
-): Promise<ReplicaIdentity> {
+): Promise<{ readonly identity: ReplicaIdentity; readonly format: number }> {
   const path = join(folder, "identity.json");
   if (!existsSync(path)) {
     const identity = { replicaId, incarnation: randomUUID() };
     const content = JSON.stringify({ format: FORMAT_VERSION, ...identity });
-    await replaceFile(path, Buffer.from(content));
-    return identity;
+    await replaceFile(path, [Buffer.from(content)]);
+    return { identity, format: FORMAT_VERSION };
   }
   const found = JSON.parse(readFileSync(path, "utf8")) as IdentityFile;
   if (found.replicaId !== replicaId) {
@@ -199,5 +206,6 @@
       `Data folder has format ${found.format}, not ${FORMAT_VERSION}`,
     );
   }
-  return { replicaId, incarnation: found.incarnation };
+  const identity = { replicaId, incarnation: found.incarnation };
+  return { identity, format: found.format };
 }
--- a/packages/consensus/src/storage/data_folder_test.ts
+++ b/packages/consensus/src/storage/data_folder_test.ts
@@ -110,7 +110,7 @@
     lastIndex: 5,
     lastTerm: 1,
     members: [],
-    state: Buffer.from("s"),
+    parts: [Buffer.from("s")],
   };
   await folder.saveSnapshot(snapshot);
   await folder.saveSnapshot({ ...snapshot, lastIndex: 4 });
@@ -139,7 +139,7 @@
     lastIndex: 2,
     lastTerm: 5,
     members: [],
-    state: Buffer.alloc(0),
+    parts: [],
   });
   const again = await open(path);
   t.same(again.getStored(1).entries, []);
@@ -190,7 +190,7 @@
     lastIndex: 4,
     lastTerm: 1,
     members: [],
-    state: Buffer.alloc(0),
+    parts: [],
   });
   await first.log.close();
   t.notOk(listSegments(path).includes(oldest));
--- a/packages/consensus/src/storage/durable_file.ts
+++ b/packages/consensus/src/storage/durable_file.ts
@@ -2,7 +2,7 @@
 
 import { open, rename } from "node:fs/promises";
 import { dirname } from "node:path";
-import type { Buffer } from "node:buffer";
+import { Buffer } from "node:buffer";
 
 /** Syncs a folder, so that names made or removed in it last. */
 export async function syncFolder(folder: string): Promise<void> {
@@ -14,15 +14,18 @@
   }
 }
 
+/** Bytes that are gathered before they are written: small parts cost a call each. */
+const GATHERED_BYTES = 262_144;
+
 /** Replaces a file; after a crash either the old or the new content is there. */
 export async function replaceFile(
   path: string,
-  content: Buffer,
+  parts: readonly Uint8Array[],
 ): Promise<void> {
   const temporary = `${path}.new`;
   const handle = await open(temporary, "w");
   try {
-    await handle.writeFile(content);
+    for (const bytes of gatherParts(parts)) await handle.writeFile(bytes);
     await handle.sync();
   } finally {
     await handle.close();
@@ -30,3 +33,17 @@
   await rename(temporary, path);
   await syncFolder(dirname(path));
 }
+
+function* gatherParts(parts: readonly Uint8Array[]): Iterable<Uint8Array> {
+  let gathered: Uint8Array[] = [];
+  let size = 0;
+  for (const part of parts) {
+    gathered.push(part);
+    size += part.length;
+    if (size < GATHERED_BYTES) continue;
+    yield Buffer.concat(gathered);
+    gathered = [];
+    size = 0;
+  }
+  yield Buffer.concat(gathered);
+}
--- a/packages/consensus/src/storage/snapshot_store.ts
+++ b/packages/consensus/src/storage/snapshot_store.ts
@@ -1,21 +1,85 @@
 /** Snapshots on disk, one file per group. */
 
+import { Buffer } from "node:buffer";
 import { existsSync, mkdirSync, readFileSync } from "node:fs";
+import { type FileHandle, open } from "node:fs/promises";
 import { join } from "node:path";
+import { crc32 } from "node:zlib";
 import type { Member } from "@mallowlift/core";
 import { replaceFile } from "./durable_file.ts";
 import { encodeRecord, readRecord } from "./record.ts";
 
-/** The state of a group after its entry `lastIndex`. */
-export interface Snapshot {
+/** Bytes that hold the record before the state, at most: it names the members. */
+const MAX_HEADER_BYTES = 65_536;
+
+/** Which state of a group a snapshot holds: the one after its entry `lastIndex`. */
+export interface SnapshotPoint {
   readonly group: number;
   readonly lastIndex: number;
   readonly lastTerm: number;
   readonly members: readonly Member[];
+}
+
+/** A snapshot with the state in memory. */
+export interface Snapshot extends SnapshotPoint {
   /** State machine, in its own encoding; empty before the first command. */
   readonly state: Uint8Array;
 }
 
+/** A snapshot to be written. */
+export interface SnapshotContent extends SnapshotPoint {
+  /** State machine, in parts that follow each other. */
+  readonly parts: readonly Uint8Array[];
+}
+
+/** First record of a file; the state follows it as it is. */
+interface SnapshotHeader extends SnapshotPoint {
+  readonly stateBytes: number;
+  readonly stateChecksum: number;
+}
+
+/** A snapshot that is read from its file piece by piece. */
+export class StoredSnapshot {
+  readonly point: SnapshotPoint;
+  /** Size of the state, bytes. */
+  readonly size: number;
+  readonly #handle: FileHandle;
+  readonly #stateOffset: number;
+
+  constructor(
+    header: SnapshotHeader,
+    file: { readonly handle: FileHandle; readonly stateOffset: number },
+  ) {
+    const { stateBytes, stateChecksum: _checksum, ...point } = header;
+    this.point = point;
+    this.size = stateBytes;
+    this.#handle = file.handle;
+    this.#stateOffset = file.stateOffset;
+  }
+
+  /** Reads a piece of the state; throws if the file is shorter. */
+  async read(offset: number, length: number): Promise<Uint8Array> {
+    const piece = Buffer.alloc(Math.min(length, this.size - offset));
+    let done = 0;
+    while (done < piece.length) {
+      const { bytesRead } = await this.#handle.read(
+        piece,
+        done,
+        piece.length - done,
+        this.#stateOffset + offset + done,
+      );
+      if (bytesRead === 0) throw new Error("The snapshot is cut short");
+      done += bytesRead;
+    }
+    return piece;
+  }
+
+  /** Closes the file. */
+  async close(): Promise<void> {
+    await this.#handle.close();
+  }
+}
+
 /** Saves and loads snapshots. */
 export class SnapshotStore {
   readonly #folder: string;
@@ -29,16 +93,65 @@
   load(group: number): Snapshot | undefined {
     const path = this.#findPath(group);
     if (!existsSync(path)) return undefined;
+    const file = readFileSync(path);
+    const found = readRecord(file, 0);
+    const damaged = new Error(`Snapshot of group ${group} is damaged`);
+    if (found === undefined) throw damaged;
+    const { stateBytes, stateChecksum, ...point } = found
+      .value as SnapshotHeader;
+    const state = file.subarray(found.end, found.end + stateBytes);
+    if (state.length < stateBytes || crc32(state) !== stateChecksum) {
+      throw damaged;
+    }
+    return { ...point, state };
+  }
+
+  /** Brings a snapshot of format 2, which is one record, into the newest one. */
+  async convert(group: number): Promise<void> {
+    const path = this.#findPath(group);
+    if (!existsSync(path)) return;
     const found = readRecord(readFileSync(path), 0);
+    const value = found?.value as Partial<Snapshot> | undefined;
+    if (value?.state === undefined) return;
+    const { state, ...point } = value as Snapshot;
+    await this.save({ ...point, parts: [state] });
+  }
+
+  /**
+   * Opens the snapshot of a group for reading; it stays readable when a newer
+   * one takes its place. Undefined if there is none.
+   */
+  async open(group: number): Promise<StoredSnapshot | undefined> {
+    const path = this.#findPath(group);
+    if (!existsSync(path)) return undefined;
+    const handle = await open(path, "r");
+    const start = Buffer.alloc(MAX_HEADER_BYTES);
+    const { bytesRead } = await handle.read(start, 0, start.length, 0);
+    const found = readRecord(start.subarray(0, bytesRead), 0);
     if (found === undefined) {
+      await handle.close();
       throw new Error(`Snapshot of group ${group} is damaged`);
     }
-    return found.value as Snapshot;
+    return new StoredSnapshot(found.value as SnapshotHeader, {
+      handle,
+      stateOffset: found.end,
+    });
   }
 
   /** Saves a snapshot in place of the earlier one. */
-  async save(snapshot: Snapshot): Promise<void> {
-    await replaceFile(this.#findPath(snapshot.group), encodeRecord(snapshot));
+  async save(snapshot: SnapshotContent): Promise<void> {
+    const { parts, ...point } = snapshot;
+    let stateBytes = 0;
+    let stateChecksum = 0;
+    for (const part of parts) {
+      stateBytes += part.length;
+      stateChecksum = crc32(part, stateChecksum);
+    }
+    const header: SnapshotHeader = { ...point, stateBytes, stateChecksum };
+    await replaceFile(this.#findPath(snapshot.group), [
+      encodeRecord(header),
+      ...parts,
+    ]);
   }
 
   #findPath(group: number): string {
--- a/packages/core/src/types/consensus.ts
+++ b/packages/core/src/types/consensus.ts
@@ -88,6 +88,8 @@
   readonly lastIndex: number;
   readonly lastTerm: number;
   readonly members: readonly Member[];
+  /** Size of the whole state, bytes. */
+  readonly size: number;
   readonly offset: number;
   readonly part: Uint8Array;
   readonly last: boolean;
--- a/packages/core/src/types/site.ts
+++ b/packages/core/src/types/site.ts
@@ -92,7 +92,18 @@
 }
 
 /** Begins a turn: finds what it goes on from and reserves its tokens. */
-export interface BeginTurn {
+export interface BeginTurn extends TurnReserve {
+  /** First turn, seen backwards, that the gateway lacks; empty if it has all. */
+  readonly missingFrom: string;
+  /**
+   * Turns that the gateway holds with all before them, so that only later ones
+   * need be sent; missing where a gateway holds none.
+   */
+  readonly knownTurns?: readonly string[];
+}
+
+/** What the reserve of a turn is decided by. */
+export interface TurnReserve {
   readonly turnId: string;
   readonly programId: string;
   /** Empty at the start of a line. */
@@ -101,13 +112,11 @@
   readonly tokenBudget: number;
   /** Most tokens that this turn may generate. */
   readonly mostTokens: number;
-  /** First turn, seen backwards, that the gateway lacks; empty if it has all. */
-  readonly missingFrom: string;
 }
 
 /** Answer to a {@linkcode BeginTurn}. */
 export interface TurnBegun {
-  /** The turns from `missingFrom` back to the start, newest first. */
+  /** The turns from `missingFrom` back to one that is known, newest first. */
   readonly turns: readonly KeptTurn[];
 }
 
--- /dev/null
+++ b/packages/gateway/src/calls/body_relay.ts
@@ -0,0 +1,36 @@
+/** Passes a large answer on to the caller as it comes. */
+
+import type { Buffer } from "node:buffer";
+import type { AnswerHead } from "../dialect.ts";
+import { dropHopHeaders, findHeader } from "../http/headers.ts";
+import type { OpenCall } from "./open_call.ts";
+import type { BodySink } from "./run_attempt.ts";
+
+const DIGITS = /^\d+$/;
+
+/** Relays the body of one answer; what waits for the caller is bounded. */
+export class BodyRelay implements BodySink {
+  readonly #call: OpenCall;
+
+  constructor(call: OpenCall) {
+    this.#call = call;
+  }
+
+  /** Starts the caller's answer, with its length if the upstream tells one. */
+  start(head: AnswerHead): void {
+    const length = findHeader(head.headers, "content-length") ?? "";
+    const headers = dropHopHeaders(head.headers);
+    if (DIGITS.test(length)) headers.push("Content-Length", length);
+    this.#call.startAnswer(head.status, headers);
+  }
+
+  /** Passes bytes on; false if the caller is slower. */
+  push(bytes: Buffer): boolean {
+    return this.#call.sendPart(bytes);
+  }
+
+  /** Calls back once the caller has read. */
+  onReady(callback: () => void): void {
+    this.#call.onRead(callback);
+  }
+}
--- a/packages/gateway/src/calls/event_relay.ts
+++ b/packages/gateway/src/calls/event_relay.ts
@@ -30,7 +30,7 @@
 
   /** Starts the caller's answer. */
   start(head: AnswerHead): void {
-    this.#call.startEvents(head.status, dropHopHeaders(head.headers));
+    this.#call.startAnswer(head.status, dropHopHeaders(head.headers));
   }
 
   /** Passes on the events that are whole. */
--- a/packages/gateway/src/calls/open_call.ts
+++ b/packages/gateway/src/calls/open_call.ts
@@ -86,6 +86,11 @@
     return this.signal.aborted && this.signal.reason === CALL_ENDS.LEFT;
   }
 
+  /** True once any part of an answer was sent. */
+  get hasAnswered(): boolean {
+    return this.parts.response.headersSent;
+  }
+
   /** Time left, ms. */
   findLeft(now: number): number {
     return this.deadlineAt - now;
@@ -127,8 +132,19 @@
     this.story.code = code.name;
   }
 
-  /** Starts a series of events. */
-  startEvents(status: number, headers: RawHeaders): void {
+  /** Sends a part of an answer; false if no more should come for now. */
+  sendPart(bytes: Buffer): boolean {
+    const { response } = this.parts;
+    return response.destroyed || response.write(bytes);
+  }
+
+  /** Calls back once the caller has read what was sent. */
+  onRead(callback: () => void): void {
+    this.parts.response.once("drain", callback);
+  }
+
+  /** Starts an answer whose parts follow. */
+  startAnswer(status: number, headers: RawHeaders): void {
     this.story.status = status;
     const { response } = this.parts;
     if (response.destroyed) return;
@@ -145,8 +161,8 @@
     response.write(event);
   }
 
-  /** Ends the series of events as whole. */
-  endEvents(): void {
+  /** Ends an answer that was sent in parts as whole. */
+  endAnswer(): void {
     this.parts.response.end();
   }
 
--- a/packages/gateway/src/calls/run_attempt.ts
+++ b/packages/gateway/src/calls/run_attempt.ts
@@ -20,8 +20,11 @@
   UpstreamConnection,
 } from "../upstreams/upstream_connection.ts";
 
-/** Largest answer that is gathered before it is passed on, bytes. */
-const MAX_ANSWER_BYTES = 16_777_216;
+/**
+ * Answers up to this are gathered, so that another upstream can be asked while
+ * the caller has seen nothing, bytes; larger ones are passed on as they come.
+ */
+const GATHERED_BYTES = 1_048_576;
 /** Time without work for an upstream that says it is full, ms: about one short request. */
 const FULL_MILLISECONDS = 60;
 
@@ -30,7 +33,7 @@
   | {
     readonly kind: "whole";
     readonly head: AnswerHead;
-    /** Empty if the answer was a stream. */
+    /** Empty if the answer was passed on as it came. */
     readonly body: Buffer;
     readonly streamed: boolean;
   }
@@ -46,6 +49,15 @@
   isAtEventEnd(): boolean;
 }
 
+/** Takes a large answer as it comes. */
+export interface BodySink {
+  start(head: AnswerHead): void;
+  /** Returns false if no more should come until {@linkcode onReady}. */
+  push(bytes: Buffer): boolean;
+  /** Calls back once more may come. */
+  onReady(callback: () => void): void;
+}
+
 /** What an attempt is made from. */
 export interface AttemptOptions {
   readonly upstream: Upstream;
@@ -59,6 +71,7 @@
   readonly silentMilliseconds: number;
   /** Missing if the route does not answer with events. */
   readonly events?: EventSink;
+  readonly body: BodySink;
 }
 
 /** Runs one attempt to its end. */
@@ -101,6 +114,7 @@
   #parts: Buffer[] = [];
   #length = 0;
   #isStream = false;
+  #isPassedOn = false;
   #notRun: CodedError | undefined;
 
   constructor(options: AttemptOptions, connection: UpstreamConnection) {
@@ -150,11 +164,10 @@
       }
       return;
     }
+    if (this.#isPassedOn) return this.#passOn(bytes);
     this.#length += bytes.length;
-    if (this.#length > MAX_ANSWER_BYTES) {
-      return this.#giveUp(RESULT_CODES.ANSWER_SPOILED);
-    }
     this.#parts.push(bytes);
+    if (this.#length > GATHERED_BYTES) this.#startPassingOn();
   }
 
   onWhole(): void {
@@ -166,12 +179,12 @@
     const isCut = this.#isStream &&
       this.#options.events?.isAtEventEnd() === false;
     if (isCut) return this.#giveUp(RESULT_CODES.ANSWER_SPOILED);
-    if (!this.#isStream) this.#noteTime();
+    if (!this.#isStream && !this.#isPassedOn) this.#noteTime();
     this.#done.resolve({
       kind: "whole",
       head,
       body: Buffer.concat(this.#parts),
-      streamed: this.#isStream,
+      streamed: this.#isStream || this.#isPassedOn,
     });
   }
 
@@ -183,6 +196,27 @@
     this.#done.resolve({ kind: "lost", error: describe(code, message) });
   }
 
+  #startPassingOn(): void {
+    const head = this.#head;
+    if (head === undefined) return this.#giveUp(RESULT_CODES.INTERNAL);
+    // A refusal is never passed on, so its text need not be kept.
+    if (this.#notRun !== undefined) {
+      this.#parts = [];
+      return;
+    }
+    this.#isPassedOn = true;
+    this.#noteTime();
+    this.#options.body.start(head);
+    for (const part of this.#parts.splice(0)) this.#passOn(part);
+  }
+
+  #passOn(bytes: Buffer): void {
+    const { body } = this.#options;
+    if (body.push(bytes)) return;
+    this.#connection.pause();
+    body.onReady(() => this.#connection.resume());
+  }
+
   #endSilence(): void {
     if (this.#head !== undefined) return;
     this.#options.upstream.noteFailure(performance.now());
--- a/packages/gateway/src/calls/run_plain_call.ts
+++ b/packages/gateway/src/calls/run_plain_call.ts
@@ -22,7 +22,7 @@
     events: call.parts.route.kind === "stream" ? events : undefined,
   });
   if ("failure" in end) return failCall(call, parts, end.failure);
-  if (end.answer.streamed) return call.endEvents();
+  if (end.answer.streamed) return call.endAnswer();
   const { head, body } = end.answer;
   call.answer(head.status, dropHopHeaders(head.headers), body);
 }
--- a/packages/gateway/src/calls/run_turn.ts
+++ b/packages/gateway/src/calls/run_turn.ts
@@ -3,6 +3,7 @@
 import { Buffer } from "node:buffer";
 import { performance } from "node:perf_hooks";
 import {
+  type BeginTurn,
   type CodedError,
   type EndTurn,
   type KeptTurn,
@@ -61,7 +62,32 @@
   parts: TurnParts,
 ): Promise<Outcome<readonly KeptTurn[]>> {
   const { facts } = call.parts;
-  const { cache, client, settings } = parts;
+  const { cache } = parts;
+  const begun = await askToBegin(call, parts, {
+    missingFrom: cache.findMissing(facts.previousTurnId),
+    knownTurns: cache.listWhole(facts.programId),
+  });
+  if (begun.err) return begun;
+  for (const turn of begun.val) cache.put(turn, facts.programId);
+  const chain = cache.listChain(facts.previousTurnId);
+  if (chain !== undefined) return Ok(chain);
+  // What was known may have been dropped meanwhile; a history too large for
+  // the cache is used as it was fetched.
+  const all = await askToBegin(call, parts, {
+    missingFrom: facts.previousTurnId,
+    knownTurns: [],
+  });
+  return all.err ? all : Ok(all.val.toReversed());
+}
+
+/** Asks the stores to begin a turn; asking again changes nothing. */
+async function askToBegin(
+  call: OpenCall,
+  parts: TurnParts,
+  held: Pick<BeginTurn, "missingFrom" | "knownTurns">,
+): Promise<Outcome<readonly KeptTurn[]>> {
+  const { facts } = call.parts;
+  const { client, settings } = parts;
   const left = call.findLeft(performance.now());
   const begun = await client.call("turns.begin", {
     turnId: facts.callId,
@@ -69,28 +95,9 @@
     previousId: facts.previousTurnId,
     tokenBudget: facts.tokenBudget,
     mostTokens: facts.mostTokens,
-    missingFrom: cache.findMissing(facts.previousTurnId),
+    ...held,
   }, Math.min(settings.leaderWaitMilliseconds, LEADER_WAIT_PART * left));
-  if (begun.err) return begun;
-  for (const turn of begun.val.turns) cache.put(turn);
-  const chain = cache.listChain(facts.previousTurnId) ??
-    listFetched(begun.val.turns, facts.previousTurnId);
-  return Ok(chain);
-}
-
-/** A history too large for the cache is used as it was fetched. */
-function listFetched(
-  turns: readonly KeptTurn[],
-  lastId: string,
-): readonly KeptTurn[] {
-  const byId = new Map(turns.map((turn) => [turn.turnId, turn]));
-  const chain: KeptTurn[] = [];
-  let turn = byId.get(lastId);
-  while (turn !== undefined) {
-    chain.push(turn);
-    turn = byId.get(turn.previousId);
-  }
-  return chain.reverse();
+  return begun.err ? begun : Ok(begun.val.turns);
 }
 
 function refuseTurn(
@@ -155,8 +162,8 @@
     input: Buffer.from(body),
     output,
     upstream,
-  });
-  call.endEvents();
+  }, facts.programId);
+  call.endAnswer();
 }
 
 /** Settles a turn that is not kept, without anyone waiting for it. */
--- a/packages/gateway/src/calls/send_call.ts
+++ b/packages/gateway/src/calls/send_call.ts
@@ -11,6 +11,7 @@
   sleep,
 } from "@mallowlift/core";
 import type { ConnectionLimits, Upstream } from "../upstreams/upstream.ts";
+import { BodyRelay } from "./body_relay.ts";
 import type { CallFailure, CallParts } from "./call_parts.ts";
 import type { OpenCall } from "./open_call.ts";
 import { type AttemptEnd, type EventSink, runAttempt } from "./run_attempt.ts";
@@ -83,6 +84,8 @@
     }
     runs++;
     if (!isIdempotent || runs >= route.maxAttempts) break;
+    // What the caller has seen of an answer cannot be taken back.
+    if (call.hasAnswered) break;
   }
   if (call.signal.aborted) last = describeAbort(call, runs);
   return { failure: { error: last, notRun: runs === 0 } };
@@ -168,6 +171,7 @@
       ? Math.min(left, parts.settings.silentMilliseconds)
       : left,
     events: options.events,
+    body: new BodyRelay(call),
     request: {
       method: head.method,
       target: head.target,
--- a/packages/gateway/src/calls/turn_cache.ts
+++ b/packages/gateway/src/calls/turn_cache.ts
@@ -6,10 +6,29 @@
 /** What a turn costs besides its bytes, about. */
 const TURN_OVERHEAD_BYTES = 400;
 
-/** Keeps the turns that were used last. */
+/** Newest turns of a program that are named as known: some lines side by side. */
+const KNOWN_TURNS = 8;
+
+interface CachedTurn {
+  readonly turn: KeptTurn;
+  readonly programId: string;
+}
+
+/**
+ * Keeps the turns that were used last.
+ *
+ * @example
+ * ```ts
+ * const cache = new TurnCache(16_777_216);
+ * cache.put(turn, "program-1");
+ * cache.listChain(turn.turnId); // the turn and all before it, or undefined
+ * ```
+ */
 export class TurnCache {
   readonly #maxBytes: number;
-  readonly #turns = new Map<string, KeptTurn>();
+  readonly #turns = new Map<string, CachedTurn>();
+  /** Turns of each program, in the order they came. */
+  readonly #byProgram = new Map<string, Set<string>>();
   #bytes = 0;
 
   constructor(maxBytes: number) {
@@ -17,24 +36,35 @@
   }
 
   /** Takes a turn in, and lets the least recently used go. */
-  put(turn: KeptTurn): void {
+  put(turn: KeptTurn, programId: string): void {
     if (this.#turns.has(turn.turnId)) return;
-    this.#turns.set(turn.turnId, turn);
+    this.#turns.set(turn.turnId, { turn, programId });
+    const ofProgram = this.#byProgram.get(programId);
+    if (ofProgram === undefined) {
+      this.#byProgram.set(programId, new Set([turn.turnId]));
+    } else ofProgram.add(turn.turnId);
     this.#bytes += measure(turn);
     for (const [turnId, oldest] of this.#turns) {
       if (this.#bytes <= this.#maxBytes) return;
-      this.#turns.delete(turnId);
-      this.#bytes -= measure(oldest);
+      this.#drop(turnId, oldest);
     }
   }
 
+  /** The newest turns of a program that are here with all before them. */
+  listWhole(programId: string): readonly string[] {
+    const ofProgram = [...this.#byProgram.get(programId) ?? []];
+    return ofProgram.slice(-KNOWN_TURNS).filter((turnId) =>
+      this.findMissing(turnId) === ""
+    );
+  }
+
   /** The first turn, seen backwards, that is missing; empty if none is. */
   findMissing(turnId: string): string {
     let missing = turnId;
     while (missing !== "") {
-      const turn = this.#turns.get(missing);
-      if (turn === undefined) return missing;
-      missing = turn.previousId;
+      const cached = this.#turns.get(missing);
+      if (cached === undefined) return missing;
+      missing = cached.turn.previousId;
     }
     return "";
   }
@@ -44,15 +74,23 @@
     const chain: KeptTurn[] = [];
     let next = turnId;
     while (next !== "") {
-      const turn = this.#turns.get(next);
-      if (turn === undefined) return undefined;
+      const cached = this.#turns.get(next);
+      if (cached === undefined) return undefined;
       this.#turns.delete(next);
-      this.#turns.set(next, turn);
-      chain.push(turn);
-      next = turn.previousId;
+      this.#turns.set(next, cached);
+      chain.push(cached.turn);
+      next = cached.turn.previousId;
     }
     return chain.reverse();
   }
+
+  #drop(turnId: string, cached: CachedTurn): void {
+    this.#turns.delete(turnId);
+    this.#bytes -= measure(cached.turn);
+    const ofProgram = this.#byProgram.get(cached.programId);
+    ofProgram?.delete(turnId);
+    if (ofProgram?.size === 0) this.#byProgram.delete(cached.programId);
+  }
 }
 
 /** The prompt of a turn: all inputs and outputs before it, then its own input. */
--- a/packages/gateway/src/upstreams/upstream_connection.ts
+++ b/packages/gateway/src/upstreams/upstream_connection.ts
@@ -113,6 +113,16 @@
     });
   }
 
+  /** Stops reading until {@linkcode resume}: the caller is slower. */
+  pause(): void {
+    this.#socket.pause();
+  }
+
+  /** Reads on. */
+  resume(): void {
+    this.#socket.resume();
+  }
+
   /** Closes at once; whoever waits for an answer is not told. */
   destroy(): void {
     this.#listener = undefined;
--- a/packages/mocks/src/opaque/opaque_upstream.ts
+++ b/packages/mocks/src/opaque/opaque_upstream.ts
@@ -14,6 +14,11 @@
 const OK = 200;
 const MISDIRECTED = 421;
 const UNAVAILABLE = 503;
+/** Parts of the answer to a target with "large", and bytes of each. */
+const LARGE_PARTS = 20;
+const LARGE_PART_BYTES = 1_048_576;
+/** Each part is of one letter, from "a" on. */
+const FIRST_LETTER = 97;
 
 /** One request that the upstream ran. */
 export interface OpaqueRun {
@@ -99,10 +104,23 @@
       if (!response.writableFinished) this.left.push(callId);
     });
     if (this.faults.losesAnswers) return void request.socket.destroy();
+    if (target.includes("large")) return await this.#answerLarge(response);
     if (target.includes("stream")) await this.#stream(body, response);
     else response.writeHead(OK).end(`ran ${callId}`);
   }
 
+  /** An answer of many mebibytes; cut after as many parts as the faults say. */
+  async #answerLarge(response: ServerResponse): Promise<void> {
+    const size = LARGE_PARTS * LARGE_PART_BYTES;
+    response.writeHead(OK, { "content-length": size });
+    for (let part = 0; part < LARGE_PARTS; part++) {
+      if (part >= this.faults.cutsAfter) return void response.destroy();
+      const bytes = Buffer.alloc(LARGE_PART_BYTES, FIRST_LETTER + part);
+      await new Promise((resolve) => response.write(bytes, resolve));
+    }
+    response.end();
+  }
+
   async #stream(prompt: string, response: ServerResponse): Promise<void> {
     response.writeHead(OK, { "content-type": "text/event-stream" });
     for (let event = 1; event <= this.events; event++) {
--- a/packages/programs/src/program_state.ts
+++ b/packages/programs/src/program_state.ts
@@ -58,12 +58,12 @@
   }
 
   /** Serializes the state. */
-  takeSnapshot(): Uint8Array {
+  takeSnapshot(): readonly Uint8Array[] {
     const stored: StoredProgram[] = [];
     for (const program of this.#programs.values()) {
       stored.push({ ...program, calls: [...program.calls.values()] });
     }
-    return encode(stored);
+    return [encode(stored)];
   }
 
   /** Replaces the state by a serialized one. */
--- a/packages/programs/src/program_state_test.ts
+++ b/packages/programs/src/program_state_test.ts
@@ -238,7 +238,7 @@
           straight.apply(next);
           restored.apply(next);
           if (position !== cut) continue;
-          const snapshot = restored.takeSnapshot();
+          const snapshot = Buffer.concat(restored.takeSnapshot());
           restored = new ProgramState();
           restored.restore(snapshot);
         }
--- a/packages/sessions/src/budgets.ts
+++ b/packages/sessions/src/budgets.ts
@@ -1,6 +1,6 @@
 /** Token budgets of programs that nobody creates. */
 
-import type { BeginTurn } from "@mallowlift/core";
+import type { TurnReserve } from "@mallowlift/core";
 
 /**
  * Time without a turn after which the budget of a program is forgotten, ms.
@@ -43,7 +43,7 @@
    *
    * @returns false if the budget holds no further turn
    */
-  reserve(turn: BeginTurn, at: number): boolean {
+  reserve(turn: TurnReserve, at: number): boolean {
     const program = this.#get(turn.programId, at);
     if (program.settled.has(turn.turnId)) return true;
     if (program.reserved.has(turn.turnId)) return true;
--- a/packages/sessions/src/site_commands.ts
+++ b/packages/sessions/src/site_commands.ts
@@ -1,10 +1,10 @@
 /** Commands of the replicated state of a site, and what becomes of them. */
 
 import type {
-  BeginTurn,
   EndTurn,
   ReplaceDocument,
   ResultCodeName,
+  TurnReserve,
 } from "@mallowlift/core";
 
 /** Puts a routing document in force if its version is the highest. */
@@ -13,7 +13,7 @@
 }
 
 /** Reserves tokens for a turn. */
-export interface BeginCommand extends BeginTurn {
+export interface BeginCommand extends TurnReserve {
   readonly kind: "begin";
   /** Time of the site, in ms; it stands still while nobody leads. */
   readonly at: number;
--- a/packages/sessions/src/site_state.ts
+++ b/packages/sessions/src/site_state.ts
@@ -1,12 +1,11 @@
 /** The replicated state of a site: routing document, turns, budgets, retirements. */
 
-import { decode, encode } from "cbor-x";
 import type {
   ReplaceDocument,
   ResultCodeName,
   RoutingDocument,
 } from "@mallowlift/core";
-import { Budgets, type StoredBudget } from "./budgets.ts";
+import { Budgets } from "./budgets.ts";
 import type {
   BeginCommand,
   DocumentCommand,
@@ -14,7 +13,8 @@
   SiteCommand,
   SiteResult,
 } from "./site_commands.ts";
-import { type StoredTurn, TurnTree } from "./turn_tree.ts";
+import { decodeSiteSnapshot, encodeSiteSnapshot } from "./site_snapshot.ts";
+import { TurnTree } from "./turn_tree.ts";
 
 /** Time between two sweeps, ms of the site: expiry need not be exact. */
 const SWEEP_MILLISECONDS = 2_000;
@@ -24,14 +24,6 @@
  */
 const GRACE_MILLISECONDS = 10_000;
 
-interface StoredSite {
-  readonly document: ReplaceDocument | undefined;
-  readonly turns: readonly StoredTurn[];
-  readonly budgets: readonly StoredBudget[];
-  readonly retiring: readonly (readonly [string, string])[];
-  readonly time: number;
-}
-
 /** Driven by the log; the same at every store once the same entries are applied. */
 export class SiteState {
   readonly turns = new TurnTree();
@@ -69,22 +61,21 @@
     return { code: this.#run(command as SiteCommand) };
   }
 
-  /** Serializes everything. */
-  takeSnapshot(): Uint8Array {
-    const stored: StoredSite = {
+  /** Serializes everything; inputs and outputs of turns are not copied. */
+  takeSnapshot(): readonly Uint8Array[] {
+    return encodeSiteSnapshot({
       document: this.#document,
       turns: this.turns.store(),
       budgets: this.budgets.store(),
       retiring: [...this.#retiring],
       time: this.#time,
-    };
-    return encode(stored);
+    });
   }
 
   /** Replaces everything by a snapshot; an empty one is the first state. */
   restore(snapshot: Uint8Array): void {
     if (snapshot.length === 0) return;
-    const stored = decode(snapshot) as StoredSite;
+    const stored = decodeSiteSnapshot(snapshot);
     this.turns.restore(stored.turns);
     this.budgets.restore(stored.budgets);
     this.#retiring.clear();
--- a/packages/sessions/src/site_state_test.ts
+++ b/packages/sessions/src/site_state_test.ts
@@ -27,7 +27,6 @@
     previousId: "",
     tokenBudget: 100,
     mostTokens: 40,
-    missingFrom: "",
     ...more,
   };
 }
@@ -145,7 +144,7 @@
   state.apply(begin("c"));
   state.apply({ kind: "retire", name: "store-1", incarnation: "i-1" });
   const copy = new SiteState();
-  copy.restore(state.takeSnapshot());
+  copy.restore(Buffer.concat(state.takeSnapshot()));
   t.equal(copy.documentVersion, 3);
   t.equal(String(copy.document?.source), "three");
   t.equal(copy.retiring.get("store-1"), "i-1");
@@ -186,3 +185,17 @@
   t.ok(check([{ ...route, pathPrefix: "/a" }]).err);
   t.end();
 });
+
+test("a gateway is sent only the turns after one that it holds", (t) => {
+  const state = new SiteState();
+  for (const [turnId, previousId] of [["a", ""], ["b", "a"], ["c", "b"]]) {
+    state.apply(end(turnId ?? "", { previousId: previousId ?? "" }));
+  }
+  const list = (known: readonly string[]) =>
+    state.turns.listBack("c", new Set(known)).map((turn) => turn.turnId);
+  t.same(list([]), ["c", "b", "a"]);
+  t.same(list(["a"]), ["c", "b"]);
+  t.same(list(["a", "b"]), ["c"]);
+  t.same(list(["unknown"]), ["c", "b", "a"]);
+  t.end();
+});
--- a/packages/sessions/src/turn_tree.ts
+++ b/packages/sessions/src/turn_tree.ts
@@ -36,12 +36,15 @@
 
   /**
    * Returns a turn and those before it, newest first; stops where one is
-   * missing.
+   * missing or known to the one who asks.
    */
-  listBack(turnId: string): readonly KeptTurn[] {
+  listBack(
+    turnId: string,
+    known: ReadonlySet<string> = new Set(),
+  ): readonly KeptTurn[] {
     const chain: KeptTurn[] = [];
     let turn = this.#turns.get(turnId);
-    while (turn !== undefined) {
+    while (turn !== undefined && !known.has(turn.turnId)) {
       const { expiresAt: _expiresAt, ...kept } = turn;
       chain.push(kept);
       turn = this.#turns.get(turn.previousId);
--- a/packages/store/src/site_owner.ts
+++ b/packages/store/src/site_owner.ts
@@ -111,14 +111,16 @@
 
   /** Begins a turn. */
   async begin(request: BeginTurn): Promise<Outcome<TurnBegun>> {
+    // What the gateway holds is nobody else's concern, so it is not replicated.
+    const { missingFrom, knownTurns, ...reserve } = request;
     const at = this.#findTime();
-    const result = await this.#propose({ kind: "begin", at, ...request });
+    const result = await this.#propose({ kind: "begin", at, ...reserve });
     if (result.err) return result;
     const { turns } = this.#options.state;
     return Ok({
-      turns: request.missingFrom === ""
+      turns: missingFrom === ""
         ? []
-        : turns.listBack(request.missingFrom),
+        : turns.listBack(missingFrom, new Set(knownTurns)),
     });
   }
 
