Hear a change of settings also while a process starts

Cause, found by reading: until a daemon had started, SIGHUP had its usual effect and ended the process. Deploys that change settings while processes restart would have ended them once more.

Change: the boot hears the signal; the settings are read after it in any case. Test that fails before: "a word of changed settings that comes meanwhile ends nothing".

--- a/packages/boot/src/boot_daemon.ts
+++ b/packages/boot/src/boot_daemon.ts
@@ -33,6 +33,8 @@
   const stopAsked = new Promise<void>((resolve) => {
     for (const signal of STOP_SIGNALS) process.once(signal, () => resolve());
   });
+  // Unheard it would end the process; the settings are read later in any case.
+  process.on("SIGHUP", () => undefined);
   const heldPort = await holdCallersPort(process.argv.slice(2));
   load()({ heldPort, stopAsked });
 }
--- a/packages/boot/src/boot_daemon_test.ts
+++ b/packages/boot/src/boot_daemon_test.ts
@@ -35,6 +35,17 @@
   t.equal(ended, ASKED);
 });
 
+test("a word of changed settings that comes meanwhile ends nothing", async (t) => {
+  const ended = await runScript(`
+    const { bootDaemon } = require(${JSON.stringify(MODULE)});
+    void bootDaemon(() => {
+      process.kill(process.pid, "SIGHUP");
+      return () => setTimeout(() => process.exit(${ASKED}), 200);
+    });
+  `);
+  t.equal(ended, ASKED);
+});
+
 test("no port is held where the command line gives none", async (t) => {
   t.equal(await holdCallersPort([]), undefined);
   t.equal(await holdCallersPort(["--settings", "/no/such/file"]), undefined);
