End what a soak has started, whichever way it ends

Change: processes that this process has started are ended when it exits, and the soak of gateways exits on SIGINT and SIGTERM. Only the bench package changes.

--- a/packages/bench/src/gateway_soak/gateway_soak.ts
+++ b/packages/bench/src/gateway_soak/gateway_soak.ts
@@ -83,6 +83,10 @@
 }
 
 if (require.main === module) {
+  for (const signal of ["SIGINT", "SIGTERM"] as const) {
+    // The processes of the site end with this one.
+    process.once(signal, () => process.exit(1));
+  }
   main().then((held) => process.exit(held ? 0 : 1), (thrown) => {
     process.stderr.write(
       `${thrown instanceof Error ? thrown.stack : String(thrown)}\n`,
--- a/packages/bench/src/site/managed_process.ts
+++ b/packages/bench/src/site/managed_process.ts
@@ -13,6 +13,20 @@
   readonly logPath: string;
 }
 
+const RUNNING = new Set<ChildProcess>();
+let isWatchingExit = false;
+
+/** Ends what this process has started, whichever way it ends itself. */
+function endWithThisProcess(child: ChildProcess): void {
+  RUNNING.add(child);
+  child.once("exit", () => RUNNING.delete(child));
+  if (isWatchingExit) return;
+  isWatchingExit = true;
+  process.on("exit", () => {
+    for (const running of RUNNING) running.kill("SIGKILL");
+  });
+}
+
 /** A process that can be started again after it has ended. */
 export class ManagedProcess {
   readonly plan: ProcessPlan;
@@ -49,6 +63,7 @@
     });
     closeSync(log);
     const exited = createDeferred<number>();
+    endWithThisProcess(child);
     this.#child = child;
     this.#exited = exited;
     child.once("exit", (code) => exited.resolve(code ?? -1));
