--- a/packages/bench/src/gateways/gateway_test.ts
+++ b/packages/bench/src/gateways/gateway_test.ts
@@ -157,6 +157,19 @@
   t.equal(nowhere.status, 404);
 });
 
+test("silence ends an attempt only where another one may follow", async (t) => {
+  const running = await start(t, 1);
+  // Longer than the silence that sends an idempotent request elsewhere.
+  for (const upstream of running.upstreams) {
+    upstream.faults.silentMilliseconds = 1_500;
+  }
+  const url = running.site.gateways[0]?.callersUrl ?? "";
+  const read = await callGateway(url, { callId: "r", path: "/read/x" });
+  t.equal(read.status, 200);
+  t.equal(read.body, "ran r");
+  t.equal(countRuns(running, "r"), 2, "the route allows two attempts");
+});
+
 test("what callers were told survives the loss of any store, its disk, and all power", async (t) => {
   const running = await start(t, 2);
   const { site } = running;
--- a/packages/consensus/src/replica_groups.ts
+++ b/packages/consensus/src/replica_groups.ts
@@ -68,6 +68,7 @@
   readonly #groups = new Map<number, ReplicatedGroup>();
   readonly #stopped = new AbortController();
   #folder: DataFolder | undefined;
+  #starting: Promise<void> | undefined;
   /** Set once this replica knows that the site was founded, and by whom. */
   #founding: FoundingDecision | undefined;
 
@@ -91,8 +92,14 @@
 
   /** Starts the groups as soon as it is known whether to found or to join. */
   async start(): Promise<void> {
+    this.#starting = this.#startGroups();
+    await this.#starting;
+  }
+
+  async #startGroups(): Promise<void> {
     const folder = this.#getFolder();
     if (!folder.isFounded && !await this.#foundOrJoin(folder)) return;
+    if (this.#stopped.signal.aborted) return;
     for (const definition of this.#options.definitions) {
       const group = this.#createGroup(definition, folder);
       this.#groups.set(definition.group, group);
@@ -107,6 +114,13 @@
     return this.#folder?.identity.incarnation ?? "";
   }
 
+  /** True once this replica knows that the site was founded. */
+  get knowsFounding(): boolean {
+    // A replica that has joined since its start must say so: an empty one
+    // that finds nobody who knows the site would found it again.
+    return this.#getFolder().isFounded || this.#founding !== undefined;
+  }
+
   /** Resolves with the error that made the disk unusable. */
   get failed(): Promise<Error> {
     return this.#getFolder().log.failed;
@@ -131,12 +145,14 @@
     return [...this.#groups.values()].map((group) => group.describe(now));
   }
 
-  /** Passes on all leaderships, then stops. */
+  /** Passes on all leaderships, then stops; a start under way ends first. */
   async stop(): Promise<void> {
     const groups = [...this.#groups.values()];
     await Promise.all(groups.map((group) => group.handOver()));
     this.#stopped.abort(ABORTED);
-    for (const group of groups) group.stop();
+    // Whoever started the groups hears of a start that failed.
+    await Promise.allSettled([this.#starting]);
+    for (const group of this.#groups.values()) group.stop();
     await this.#folder?.log.close();
   }
 
@@ -242,9 +258,7 @@
     const snapshot = folder.getStored(group).snapshot;
     return {
       identity: folder.identity,
-      // A replica that has joined since its start must say so: an empty one
-      // that finds nobody who knows the site would found it again.
-      founded: folder.isFounded || this.#founding !== undefined,
+      founded: this.knowsFounding,
       // The decision comes before the folder holds it.
       foundingMembers: snapshot?.lastIndex === 0
         ? snapshot.members
--- a/packages/gateway/src/calls/send_call.ts
+++ b/packages/gateway/src/calls/send_call.ts
@@ -69,7 +69,8 @@
       await sleep(FULL_PAUSE_MILLISECONDS, call.signal);
       continue;
     }
-    const end = await runAt(upstream, call, { parts, options, now });
+    const isLast = !isIdempotent || runs + 1 >= route.maxAttempts;
+    const end = await runAt(upstream, call, { parts, options, now, isLast });
     call.story.upstream = upstream.instance.id;
     if (end.kind === "whole") {
       return { answer: end, upstream: upstream.instance.id };
@@ -153,12 +154,13 @@
     readonly parts: CallParts;
     readonly options: SendOptions;
     readonly now: number;
+    /** True if no other attempt may follow one that may have run. */
+    readonly isLast: boolean;
   },
 ): Promise<AttemptEnd> {
   const { parts, options, now } = details;
   const { head, facts, route } = call.parts;
   const left = call.findLeft(now);
-  const isIdempotent = route.kind === ROUTE_KINDS.IDEMPOTENT;
   call.story.sends++;
   return await runAttempt({
     upstream,
@@ -166,10 +168,10 @@
     dialect: parts.dialect,
     limits: findLimits(call, parts),
     signal: call.signal,
-    // What may run only once is never given up for silence alone.
-    silentMilliseconds: isIdempotent
-      ? Math.min(left, parts.settings.silentMilliseconds)
-      : left,
+    // Silence alone ends an attempt only where another one may follow.
+    silentMilliseconds: details.isLast
+      ? left
+      : Math.min(left, parts.settings.silentMilliseconds),
     events: options.events,
     body: new BodyRelay(call),
     request: {
--- a/packages/mocks/src/opaque/opaque_upstream.ts
+++ b/packages/mocks/src/opaque/opaque_upstream.ts
@@ -38,6 +38,8 @@
   cutsAfter: number;
   /** Time between two events, ms. */
   pauseMilliseconds: number;
+  /** Time from a request to the head of its answer, ms. */
+  silentMilliseconds: number;
 }
 
 /** A fake upstream; streams where the path holds "stream". */
@@ -51,6 +53,7 @@
     losesAnswers: false,
     cutsAfter: Infinity,
     pauseMilliseconds: 1,
+    silentMilliseconds: 0,
   };
   /** Events of each stream. */
   events = 3;
@@ -104,6 +107,9 @@
       if (!response.writableFinished) this.left.push(callId);
     });
     if (this.faults.losesAnswers) return void request.socket.destroy();
+    if (this.faults.silentMilliseconds > 0) {
+      await sleep(this.faults.silentMilliseconds);
+    }
     if (target.includes("large")) return await this.#answerLarge(response);
     if (target.includes("stream")) await this.#stream(body, response);
     else response.writeHead(OK).end(`ran ${callId}`);
--- a/packages/mocks/src/proxy/fault_proxy.ts
+++ b/packages/mocks/src/proxy/fault_proxy.ts
@@ -29,7 +29,13 @@
   readonly server: Socket;
 }
 
-/** Forwards one port to one address. */
+/** Where a proxy connects to. */
+export interface ProxyTarget {
+  readonly host: string;
+  readonly port: number;
+}
+
+/** Forwards one port to one address, which may change. */
 export class FaultProxy {
   readonly faults: ProxyFaults = {
     delayMilliseconds: 0,
@@ -38,11 +44,12 @@
     refuse: false,
     bytesPerSecond: 0,
   };
-  readonly #target: { readonly host: string; readonly port: number };
+  #target: ProxyTarget | undefined;
   readonly #server: Server;
   readonly #pairs = new Set<Pair>();
 
-  constructor(target: { readonly host: string; readonly port: number }) {
+  /** A proxy without a target yet refuses every connection. */
+  constructor(target?: ProxyTarget) {
     this.#target = target;
     this.#server = createServer((client) => this.#accept(client));
   }
@@ -64,6 +71,11 @@
     await ready.promise;
   }
 
+  /** Sends new connections to another address; undefined refuses them. */
+  retarget(target: ProxyTarget | undefined): void {
+    this.#target = target;
+  }
+
   /** Stops and breaks all connections. */
   async stop(): Promise<void> {
     const closed = createDeferred<void>();
@@ -99,7 +111,9 @@
   }
 
   #accept(client: Socket): void {
-    if (this.faults.refuse) return void client.destroy();
+    if (this.faults.refuse || this.#target === undefined) {
+      return void client.destroy();
+    }
     const server = connect(this.#target);
     const pair: Pair = { client, server };
     this.#pairs.add(pair);
