--- a/packages/core/src/logs/log_queue.ts
+++ b/packages/core/src/logs/log_queue.ts
@@ -1,5 +1,6 @@
 /** Writes log lines without ever waiting for whoever reads them. */
 
+import { performance } from "node:perf_hooks";
 import { Buffer } from "node:buffer";
 import { write } from "node:fs";
 import { sleep } from "../shared/sleep.ts";
@@ -73,8 +74,10 @@
   /** Writes what waits, but waits for it no longer than the limit. */
   async close(limitMilliseconds: number): Promise<void> {
     this.flush();
-    const until = Date.now() + limitMilliseconds;
-    while ((this.#isWriting || this.#lines.length > 0) && Date.now() < until) {
+    const until = performance.now() + limitMilliseconds;
+    while (
+      (this.#isWriting || this.#lines.length > 0) && performance.now() < until
+    ) {
       await sleep(CLOSE_LOOK_MILLISECONDS);
     }
   }
--- a/packages/core/src/supervisor/supervisor.ts
+++ b/packages/core/src/supervisor/supervisor.ts
@@ -4,6 +4,7 @@
  * often fails its supervisor, and at the root ends the process.
  */
 
+import { performance } from "node:perf_hooks";
 import type { Logger } from "../logs/logger.ts";
 import { createDeferred, type Deferred, sleep } from "../shared/sleep.ts";
 import { describeThrown } from "../result/coded_error.ts";
@@ -103,7 +104,7 @@
       this.#ended.resolve(new Error(`Child ${name} failed: ${reason}`));
       return;
     }
-    const now = Date.now();
+    const now = performance.now();
     const since = now - this.#options.intervalMilliseconds;
     this.#restartTimes = this.#restartTimes.filter((time) => time > since);
     this.#restartTimes.push(now);
--- a/packages/membership/src/directory_task.ts
+++ b/packages/membership/src/directory_task.ts
@@ -104,10 +104,11 @@
   }
 
   async #run(startedAt: number): Promise<void> {
-    const { directory, intervalMilliseconds } = this.#options;
+    const { directory, links, intervalMilliseconds } = this.#options;
     while (!this.#stopped.signal.aborted) {
       const now = performance.now();
       directory.forget(now);
+      links.dropIdle(now);
       const isEarly = now - startedAt < HURRY_MILLISECONDS;
       const isLost = directory.findByRole(ROLES.STORE).length === 0;
       const peers = this.#choosePeers(isEarly && isLost);
--- a/packages/transport/src/peer_link.ts
+++ b/packages/transport/src/peer_link.ts
@@ -1,6 +1,7 @@
 /** A link to one other daemon, reconnected by its own task for as long as it lives. */
 
 import { connect as connectSocket, type Socket } from "node:net";
+import { performance } from "node:perf_hooks";
 import {
   ABORTED,
   createDeferred,
@@ -49,7 +50,7 @@
   readonly #stopped = new AbortController();
   readonly #changed = new WakeSignal();
   #connection: Connection | undefined;
-  #lastUsedAt = Date.now();
+  #lastUsedAt = performance.now();
   /** True after a failed attempt, so that callers look elsewhere at once. */
   #isRefused = false;
 
@@ -64,7 +65,7 @@
     return this.#connection?.isOpen === true;
   }
 
-  /** When the link last carried a call. */
+  /** When the link last began to carry a call, by the monotonic clock, ms. */
   get lastUsedAt(): number {
     return this.#lastUsedAt;
   }
@@ -78,7 +79,7 @@
     request: InternalHandlers[N]["request"],
     options: CallOptions<N>,
   ): Promise<Outcome<InternalHandlers[N]["reply"]>> {
-    this.#lastUsedAt = Date.now();
+    this.#lastUsedAt = performance.now();
     if (!this.isConnected && !this.#isRefused) {
       const limit = Math.min(
         this.#options.connectMilliseconds,
--- a/packages/transport/src/peer_links.ts
+++ b/packages/transport/src/peer_links.ts
@@ -2,6 +2,11 @@
 
 import { PeerLink, type PeerLinkOptions } from "./peer_link.ts";
 
+/**
+ * Time without a call after which a link is dropped, ms: far above the pauses
+ * between two exchanges of a pair of daemons, so that only those that are gone
+ * or of no further use are dropped.
+ */
 const IDLE_MILLISECONDS = 120_000;
 
 /** Makes links when they are first needed and drops idle ones. */
@@ -25,7 +30,10 @@
     return link;
   }
 
-  /** Drops links that carried nothing for a while. */
+  /**
+   * Drops links that carried nothing for a while: a link keeps trying to
+   * connect for as long as it lives, also to a daemon that is gone for good.
+   */
   dropIdle(now: number): void {
     for (const link of this.#links.values()) {
       if (now - link.lastUsedAt < IDLE_MILLISECONDS) continue;
@@ -34,6 +42,11 @@
     }
   }
 
+  /** Addresses that links are kept to. */
+  list(): readonly string[] {
+    return [...this.#links.keys()];
+  }
+
   /** Closes all links. */
   stop(): void {
     this.#stopped = true;
