Tell in the logs when a process stood still and what a spent budget came to

Change: a watch writes 'Stood still' with the time lost, and counts it; the leader of the stores writes one line for each final refusal of a turn with the budget, what is spent and reserved, or how many turns are kept; explain puts both into its verdict. Tests fail before (no such lines). The lag of the event loop is looked at every 250 ms instead of every 10 ms, which woke idle processes a hundred times a second.

--- a/packages/bench/src/gateways/operations_test.ts
+++ b/packages/bench/src/gateways/operations_test.ts
@@ -15,6 +15,7 @@
   readonly site: GatewaySite;
   readonly upstream: OpaqueUpstream;
   readonly logPath: string;
+  readonly storeLogPaths: readonly string[];
   readonly url: string;
 }
 
@@ -33,17 +34,29 @@
     upstream.stop();
   });
   const url = site.gateways[0]?.callersUrl ?? "";
-  return { site, upstream, url, logPath: join(folder, "gateway-0.log") };
+  return {
+    site,
+    upstream,
+    url,
+    logPath: join(folder, "gateway-0.log"),
+    storeLogPaths: site.stores.map(({ name }) => join(folder, `${name}.log`)),
+  };
 }
 
 /** Runs the command of the page once the end of the request is in the log. */
-async function explain(logPath: string, call: string): Promise<string> {
+async function explain(
+  logPath: string,
+  call: string,
+  others: readonly string[] = [],
+): Promise<string> {
   while (!/(Call ended|Request refused)/.test(findLines(logPath, call))) {
     await sleep(50);
   }
-  return execFileSync(process.execPath, [SCRIPT, "explain", call, logPath], {
-    encoding: "utf8",
-  });
+  return execFileSync(
+    process.execPath,
+    [SCRIPT, "explain", call, logPath, ...others],
+    { encoding: "utf8" },
+  );
 }
 
 function findLines(logPath: string, call: string): string {
@@ -82,7 +95,7 @@
 });
 
 test("a turn refused because its program has spent its budget", async (t) => {
-  const { url, logPath } = await start(t);
+  const { url, logPath, storeLogPaths } = await start(t);
   const ask = (callId: string) =>
     callGateway(url, {
       callId,
@@ -95,7 +108,11 @@
     });
   t.equal((await ask("b1")).status, 200);
   t.equal((await ask("b2")).status, 402);
-  const story = await explain(logPath, "b2");
+  while (!storeLogPaths.some((path) => findLines(path, "b2") !== "")) {
+    await sleep(50);
+  }
+  const story = await explain(logPath, "b2", storeLogPaths);
   t.match(story, /BUDGET_EXCEEDED, so it did not run/);
+  t.match(story, /of 5 tokens 6 were spent and 0 reserved for 0 open turns/);
   checkPage(t, "BUDGET_EXCEEDED");
 });
--- a/packages/cli/src/commands/explain_command.ts
+++ b/packages/cli/src/commands/explain_command.ts
@@ -11,7 +11,7 @@
 
 /** Messages that change what a process believes, rather than tell of a request. */
 const BELIEFS =
-  /: (Leader found|Leader lost|Leading|Stepped down|Document in force|Instance list (in force|lost|regained|changed)|Ready|Not ready|Started|Stopping|Settings reloaded|Members changed)/;
+  /: (Leader found|Leader lost|Leading|Stepped down|Document in force|Instance list (in force|lost|regained|changed)|Ready|Not ready|Stood still|Started|Stopping|Settings reloaded|Members changed)/;
 
 /** One line of a log, as far as the story needs it. */
 export interface LogLine {
@@ -83,6 +83,7 @@
   if (end === undefined) {
     return "No end was logged: the process ended first, or its lines were dropped";
   }
+  const stall = beliefs.findLast((line) => line.msg.endsWith("Stood still"));
   const code = findResultCode(String(end["code"]));
   if (code === RESULT_CODES.OK) {
     return `Answered with status ${end["status"]} by ${end["upstream"]} after ${
@@ -92,6 +93,14 @@
   const promise = code.notRun ? "did not run" : "may have run";
   const failed = own.findLast((line) => line.msg.endsWith("Attempt failed"));
   const causes: string[] = [code.meaning];
+  const spent = own.findLast((line) => line.msg.endsWith("Budget spent"));
+  if (spent !== undefined) {
+    causes.push(
+      `of ${spent["budget"]} tokens ${spent["spent"]} were spent and ${
+        spent["reserved"]
+      } reserved for ${spent["open_turns"]} open turns`,
+    );
+  }
   if (failed !== undefined) {
     causes.push(
       `the last attempt, at ${failed["upstream"]}, ended as ${
@@ -99,6 +108,13 @@
       }: ${failed["reason"]}`,
     );
   }
+  if (stall !== undefined) {
+    causes.push(
+      `its gateway stood still for ${
+        stall["milliseconds"]
+      } ms up to ${stall.time}`,
+    );
+  }
   const lost = beliefs.findLast((line) => line.msg.includes("Leader "));
   if (lost?.msg.includes("Leader lost") === true) {
     causes.push(
--- a/packages/cli/src/commands/explain_command_test.ts
+++ b/packages/cli/src/commands/explain_command_test.ts
@@ -42,6 +42,24 @@
     upstream: "i-2",
     milliseconds: 40,
   }),
+  write(6_200, "s1", "owner: Budget spent", {
+    call: "c4",
+    budget: 100,
+    spent: 80,
+    reserved: 24,
+    open_turns: 2,
+  }),
+  write(6_201, "g1", "calls: Call ended", {
+    call: "c4",
+    code: "BUDGET_EXCEEDED",
+    status: 402,
+  }),
+  write(12_300, "g1", "daemon: Stood still", { milliseconds: 6_000 }),
+  write(12_310, "g1", "calls: Call ended", {
+    call: "c5",
+    code: "CALLER_LEFT",
+    status: 0,
+  }),
   "  12.5 g1 {cut off in the mid",
 ].join("\n");
 
@@ -66,3 +84,16 @@
   t.equal(explainCall(lines, "c9"), undefined);
   t.end();
 });
+
+test("the story of a spent budget names what was spent and reserved", (t) => {
+  const story = explainCall(readLogLines(LOG), "c4");
+  t.match(story?.verdict, /BUDGET_EXCEEDED, so it did not run/);
+  t.match(story?.verdict, /of 100 tokens 80 were spent and 24 reserved for 2/);
+  t.end();
+});
+
+test("the story of a call at a frozen gateway names how long it stood still", (t) => {
+  const story = explainCall(readLogLines(LOG), "c5");
+  t.match(story?.verdict, /its gateway stood still for 6000 ms/);
+  t.end();
+});
--- a/packages/core/src/metrics/metrics.ts
+++ b/packages/core/src/metrics/metrics.ts
@@ -25,6 +25,13 @@
   60,
 ];
 
+/**
+ * Time between two looks at the lag of the event loop, ms. The library's own
+ * 10 ms wake an idle process a hundred times a second; four looks a second
+ * still show a process that lags.
+ */
+const LAG_LOOK_MILLISECONDS = 250;
+
 /** All counters, gauges and histograms that a daemon keeps. */
 export interface Metrics {
   readonly registry: Registry;
@@ -40,13 +47,17 @@
   readonly cachedTokens: Counter;
   readonly promptTokens: Counter;
   readonly malformedFrames: Counter<"reason">;
+  readonly stoodStillSeconds: Counter;
   readonly peerBytes: Counter<"direction">;
 }
 
 /** Makes an empty set of metrics. */
 export function createMetrics(): Metrics {
   const registry = new Registry();
-  collectDefaultMetrics({ register: registry });
+  collectDefaultMetrics({
+    register: registry,
+    eventLoopMonitoringPrecision: LAG_LOOK_MILLISECONDS,
+  });
   const registers = [registry];
   return {
     registry,
@@ -119,6 +130,11 @@
       labelNames: ["direction"],
       registers,
     }),
+    stoodStillSeconds: new Counter({
+      name: "mallowlift_stood_still_seconds_total",
+      help: "Time in which the process did not run although it was due",
+      registers,
+    }),
     malformedFrames: new Counter({
       name: "mallowlift_malformed_frames_total",
       help: "Internal connections closed for what was sent on them",
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -28,6 +28,7 @@
 import type { Dialects } from "./dialects.ts";
 import type { LiveSettings } from "./live_settings.ts";
 import { HealthServer, type RoleHealth } from "./health_server.ts";
+import { StallWatch } from "./stall_watch.ts";
 import { TOKENS } from "./tokens.ts";
 
 const MAX_RESTARTS = 3;
@@ -98,6 +99,8 @@
       listHealth: () => this.#listHealth(),
     });
     this.#supervisor.add(() => health);
+    const { logger, metrics } = this;
+    this.#supervisor.add(() => new StallWatch({ logger, metrics }));
     this.#supervisor.add(() => this.#createPort());
     const { task } = this.#site ?? {};
     if (task !== undefined) this.#supervisor.add(() => task);
--- a/packages/sessions/src/budgets.ts
+++ b/packages/sessions/src/budgets.ts
@@ -18,6 +18,14 @@
   usedAt: number;
 }
 
+/** What a program has used of its budget, in tokens. */
+export interface BudgetUse {
+  readonly spent: number;
+  /** Most that turns may yet generate that have not been settled. */
+  readonly reserved: number;
+  readonly openTurns: number;
+}
+
 /** A program's budget in the form of a snapshot. */
 export interface StoredBudget {
   readonly programId: string;
@@ -66,6 +74,18 @@
     program.spent += tokens;
   }
 
+  /** What a program has used; nothing if it is not known. */
+  describe(programId: string): BudgetUse {
+    const program = this.#programs.get(programId);
+    if (program === undefined) return { spent: 0, reserved: 0, openTurns: 0 };
+    const { spent, reserved } = program;
+    return {
+      spent,
+      reserved: sumUse(program) - spent,
+      openTurns: reserved.size,
+    };
+  }
+
   /** Forgets programs that have been silent for long. */
   sweep(at: number): void {
     for (const [programId, program] of this.#programs) {
--- a/packages/store/src/site_owner.ts
+++ b/packages/store/src/site_owner.ts
@@ -19,6 +19,7 @@
   type Outcome,
   type ReplaceDocument,
   RESULT_CODES,
+  type ResultCode,
   type RetireState,
   type RetireStore,
   type TurnBegun,
@@ -115,7 +116,10 @@
     const { missingFrom, knownTurns, ...reserve } = request;
     const at = this.#findTime();
     const result = await this.#propose({ kind: "begin", at, ...reserve });
-    if (result.err) return result;
+    if (result.err) {
+      this.#noteRefusedTurn(request, result.val.code);
+      return result;
+    }
     const { turns } = this.#options.state;
     return Ok({
       turns: missingFrom === ""
@@ -196,6 +200,29 @@
     };
   }
 
+  /** One line with what a final refusal of a turn was decided on. */
+  #noteRefusedTurn(request: BeginTurn, code: ResultCode): void {
+    const { state, logger } = this.#options;
+    if (code === RESULT_CODES.BUDGET_EXCEEDED) {
+      const use = state.budgets.describe(request.programId);
+      return logger.info("Budget spent", {
+        call: request.turnId,
+        program: request.programId,
+        budget: request.tokenBudget,
+        spent: use.spent,
+        reserved: use.reserved,
+        open_turns: use.openTurns,
+      });
+    }
+    if (code !== RESULT_CODES.TURN_NOT_FOUND) return;
+    logger.info("Earlier turn not found", {
+      call: request.turnId,
+      program: request.programId,
+      previous: request.previousId,
+      kept_turns: state.turns.size,
+    });
+  }
+
   async #propose(command: SiteCommand): Promise<Outcome<SiteResult>> {
     const group = this.#options.getGroup();
     if (group === undefined) return this.#refuse();
