Send entries once: a slow way no longer brings the stores down

Cause: a leader gave an answer to entries one election timeout (300 ms) and sent up to 1 MiB at once to each member. Ruled out: processor (a store used 0.10 of 0.46 cores) and memory (105 MB).

Change: a message carries 128 KiB of entries; they are sent again only when the connection broke or ten election timeouts passed; a member that is busy hears the leader by empty messages meanwhile. The proxy of the tests now has a true rate. The new test never settled in 20 s before, and holds one leadership after.

--- a/packages/consensus/src/group/group_log.ts
+++ b/packages/consensus/src/group/group_log.ts
@@ -2,7 +2,11 @@
 
 import type { LogEntry } from "@mallowlift/core";
 
-const MAX_BATCH_BYTES = 1_048_576;
+/**
+ * Bytes of one message of entries: some 10 ms of a link of 100 Mbit/s, so that
+ * heartbeats to all members get through between the messages.
+ */
+const MAX_BATCH_BYTES = 131_072;
 const MAX_BATCH_ENTRIES = 2_000;
 
 /** Entries after a base index. */
--- a/packages/consensus/src/group/leadership.ts
+++ b/packages/consensus/src/group/leadership.ts
@@ -21,6 +21,14 @@
 import { sendSnapshot } from "./send_snapshot.ts";
 
 const RETRY_MILLISECONDS = 20;
+/**
+ * Longest wait for the answer to entries, in election timeouts. Entries that
+ * wait in a full link arrive all the same; sent again, they would fill it more.
+ * A connection that broke ends the wait at once.
+ */
+const APPEND_TIMEOUTS = 10;
+/** Heartbeats to a member that is busy with entries, in each election timeout. */
+const BUSY_HEARTBEATS = 2;
 
 /** What a leadership uses of its group. */
 export interface LeadershipParts {
@@ -168,14 +176,39 @@
   }
 
   async #replicate(peer: PeerProgress): Promise<void> {
-    const caller = this.#parts.options.findPeer(peer.member);
+    const { options, log } = this.#parts;
+    const caller = options.findPeer(peer.member);
+    const pause = options.timing.electionMilliseconds / BUSY_HEARTBEATS;
+    const beats = setInterval(
+      () => void this.#beatIfBusy(peer, { caller, pause }),
+      pause,
+    );
     while (!this.#over && !peer.removed) {
       await this.#waitForWork(peer);
-      if (this.#over || peer.removed) return;
-      if (peer.nextIndex <= this.#parts.log.baseIndex) {
+      if (this.#over || peer.removed) break;
+      if (peer.nextIndex <= log.baseIndex) {
         await this.#sendSnapshot(peer, caller);
       } else await this.#sendEntries(peer, caller);
     }
+    clearInterval(beats);
+  }
+
+  /** A member that takes long over its entries must still hear its leader. */
+  async #beatIfBusy(
+    peer: PeerProgress,
+    parts: { readonly caller: Caller; readonly pause: number },
+  ): Promise<void> {
+    if (this.#over || peer.removed || !peer.isBusy) return;
+    const sentAt = performance.now();
+    if (sentAt - peer.sentAt < parts.pause) return;
+    const reply = await this.#callAppend(parts.caller, {
+      peer,
+      previousIndex: peer.matchIndex,
+      entries: [],
+      timeouts: 1,
+    });
+    if (this.#over || peer.removed || reply.err) return;
+    this.#noteHeard(peer, { reply: reply.val, sentAt });
   }
 
   async #waitForWork(peer: PeerProgress): Promise<void> {
@@ -190,8 +223,33 @@
   }
 
   async #sendEntries(peer: PeerProgress, caller: Caller): Promise<void> {
+    const sentAt = performance.now();
+    peer.sentAt = sentAt;
+    peer.isBusy = true;
+    const reply = await this.#callAppend(caller, {
+      peer,
+      previousIndex: peer.nextIndex - 1,
+      entries: this.#parts.log.slice(peer.nextIndex),
+      timeouts: APPEND_TIMEOUTS,
+    });
+    peer.isBusy = false;
+    if (this.#over || peer.removed) return;
+    if (reply.err) return await sleep(RETRY_MILLISECONDS);
+    this.#takeReply(peer, { reply: reply.val, sentAt });
+  }
+
+  async #callAppend(
+    caller: Caller,
+    plan: {
+      readonly peer: PeerProgress;
+      readonly previousIndex: number;
+      readonly entries: AppendRequest["entries"];
+      /** Longest wait, in election timeouts. */
+      readonly timeouts: number;
+    },
+  ): Promise<Outcome<AppendReply>> {
     const { log, options } = this.#parts;
-    const previousIndex = peer.nextIndex - 1;
+    const { peer, previousIndex, entries, timeouts } = plan;
     const request: AppendRequest = {
       group: options.group,
       term: this.term,
@@ -199,20 +257,16 @@
       toIncarnation: peer.member.incarnation,
       previousIndex,
       previousTerm: log.findTerm(previousIndex) ?? 0,
-      entries: log.slice(peer.nextIndex),
+      entries,
       commitIndex: this.#parts.getCommitIndex(),
     };
-    const sentAt = performance.now();
-    peer.sentAt = sentAt;
-    const reply = await caller.call("consensus.append", request, {
-      timeoutMilliseconds: options.timing.electionMilliseconds,
+    return await caller.call("consensus.append", request, {
+      timeoutMilliseconds: timeouts * options.timing.electionMilliseconds,
     });
-    if (this.#over || peer.removed) return;
-    if (reply.err) return await sleep(RETRY_MILLISECONDS);
-    this.#takeReply(peer, { reply: reply.val, sentAt });
   }
 
-  #takeReply(
+  /** Takes from an answer that the member was there, and the term it knows. */
+  #noteHeard(
     peer: PeerProgress,
     answer: { readonly reply: AppendReply; readonly sentAt: number },
   ): void {
@@ -221,6 +275,15 @@
     peer.heardAt = performance.now();
     peer.ackedSentAt = Math.max(peer.ackedSentAt, sentAt);
     this.#acked.wake();
+  }
+
+  #takeReply(
+    peer: PeerProgress,
+    answer: { readonly reply: AppendReply; readonly sentAt: number },
+  ): void {
+    const { reply } = answer;
+    this.#noteHeard(peer, answer);
+    if (this.#over) return;
     if (!reply.accepted) {
       peer.nextIndex = Math.max(
         1,
--- a/packages/consensus/src/group/peer_progress.ts
+++ b/packages/consensus/src/group/peer_progress.ts
@@ -13,6 +13,8 @@
   ackedSentAt = -Infinity;
   /** When a request was last sent. */
   sentAt = -Infinity;
+  /** True while entries are on their way and not answered. */
+  isBusy = false;
   /** When the member last answered. */
   heardAt: number;
   /** True once the member should get no more. */
--- a/packages/consensus/src/mocks/test_cluster.ts
+++ b/packages/consensus/src/mocks/test_cluster.ts
@@ -190,6 +190,20 @@
     }
   }
 
+  /** Lets each way from one replica take no more than so many bytes a second. */
+  slowDown(source: string, bytesPerSecond: number): void {
+    for (const [name, proxy] of this.#proxies) {
+      if (name.startsWith(`${source}>`)) {
+        proxy.faults.bytesPerSecond = bytesPerSecond;
+      }
+    }
+  }
+
+  /** Bytes that one replica has sent to another so far. */
+  countBytes(source: string, target: string): number {
+    return this.#proxies.get(`${source}>${target}`)?.bytesFromClients ?? 0;
+  }
+
   /** Ends all cuts. */
   heal(): void {
     for (const proxy of this.#proxies.values()) proxy.heal();
--- a/packages/consensus/src/replica_groups_test.ts
+++ b/packages/consensus/src/replica_groups_test.ts
@@ -174,6 +174,38 @@
   t.equal(listVoters().length, 3);
 });
 
+test("a slow way carries entries once, and the leader stays", async (t) => {
+  const cluster = new TestCluster(t.testdir(), { ids: IDS });
+  t.teardown(() => cluster.stop());
+  // A message of entries takes half of this on the slow way, all of them far more.
+  cluster.electionMilliseconds = 600;
+  await cluster.start();
+  await cluster.commit("before");
+  const leader = await cluster.waitForLeader();
+  const term = cluster.getGroup(leader)?.term;
+  const others = IDS.filter((id) => id !== leader);
+  const count = () => others.map((id) => cluster.countBytes(leader, id));
+  const before = count();
+  cluster.slowDown(leader, 400_000);
+  const filling = "x".repeat(20_000);
+  const applied = await Promise.all(
+    Array.from(
+      { length: 40 },
+      (_, number) =>
+        cluster.propose(leader, { name: `${number}${filling}`, attempt: 1 }),
+    ),
+  );
+  t.ok(applied.every((outcome) => outcome?.ok));
+  const isDone = () =>
+    IDS.every((id) => cluster.readCommands(id).length === 41);
+  await cluster.waitFor("all replicas applied", isDone);
+  t.equal(cluster.getGroup(leader)?.term, term, "nobody else was elected");
+  for (const [index, bytes] of count().entries()) {
+    const sent = bytes - (before[index] ?? 0);
+    t.ok(sent < 1.2 * 40 * filling.length, "entries were sent once");
+  }
+});
+
 test("a stop waits for a start that is under way", async (t) => {
   const cluster = new TestCluster(t.testdir(), { ids: IDS });
   t.teardown(() => cluster.stop());
--- a/packages/mocks/src/proxy/fault_proxy.ts
+++ b/packages/mocks/src/proxy/fault_proxy.ts
@@ -8,7 +8,7 @@
   type Socket,
 } from "node:net";
 import type { Buffer } from "node:buffer";
-import { createDeferred } from "@mallowlift/core";
+import { createDeferred, sleep } from "@mallowlift/core";
 
 /** What the proxy does to the connections through it. */
 export interface ProxyFaults {
@@ -47,6 +47,7 @@
   #target: ProxyTarget | undefined;
   readonly #server: Server;
   readonly #pairs = new Set<Pair>();
+  #bytesFromClients = 0;
 
   /** A proxy without a target yet refuses every connection. */
   constructor(target?: ProxyTarget) {
@@ -59,6 +60,11 @@
     return (this.#server.address() as AddressInfo).port;
   }
 
+  /** Bytes that clients have sent so far. */
+  get bytesFromClients(): number {
+    return this.#bytesFromClients;
+  }
+
   /** Address that clients connect to. */
   get address(): string {
     return `127.0.0.1:${this.port}`;
@@ -127,6 +133,10 @@
       socket.on("error", close);
       socket.on("close", close);
     }
+    client.on(
+      "data",
+      (bytes: Buffer) => this.#bytesFromClients += bytes.length,
+    );
     this.#pipe(client, server, () => this.faults.silentToServer);
     this.#pipe(server, client, () => this.faults.silentToClient);
   }
@@ -136,18 +146,18 @@
     from.on("data", (bytes: Buffer) => {
       if (isSilent()) return;
       const { delayMilliseconds, bytesPerSecond } = this.faults;
-      const slow = bytesPerSecond > 0
-        ? (bytes.length / bytesPerSecond) * 1_000
-        : 0;
-      const wait = delayMilliseconds + slow;
-      if (wait === 0) {
+      if (delayMilliseconds === 0 && bytesPerSecond === 0) {
         void previous.then(() => to.write(bytes));
         return;
       }
-      const arrival = new Promise<void>((resolve) => setTimeout(resolve, wait));
-      // Bytes of one connection keep their order.
+      const arrival = sleep(delayMilliseconds);
+      // Bytes of one connection keep their order, and the next piece can only
+      // be sent once a slow way has taken this one.
       previous = previous.then(async () => {
         await arrival;
+        if (bytesPerSecond > 0) {
+          await sleep((bytes.length / bytesPerSecond) * 1_000);
+        }
         to.write(bytes);
       });
     });
