A leader whose disk stalls tells what the others have on disk

Cause: the proposer was told only after the leader's own sync, although a quorum of the others had synced and the entry was committed and applied. Change: the outcome waits for the commit alone. The new test, with syncs of one folder held back, fails before.

--- a/packages/consensus/src/group/replicated_group.ts
+++ b/packages/consensus/src/group/replicated_group.ts
@@ -466,8 +466,9 @@
     const applied = this.#applier.waitFor(entry);
     const synced = this.#store.appendOwn(entry);
     leadership.wake();
-    await synced;
-    leadership.advanceCommit();
+    // A quorum of the others is enough: a stalled disk of the leader holds
+    // nothing up. A disk that fails ends the replica elsewhere.
+    void synced.then(() => leadership.advanceCommit());
     const outcome = await applied;
     const seconds = (performance.now() - startedAt) / 1_000;
     this.#options.metrics.commitSeconds.observe({ group: this.group }, seconds);
--- /dev/null
+++ b/packages/consensus/src/mocks/stalled_disk.ts
@@ -0,0 +1,38 @@
+/** A disk that answers no sync for a while, for one folder of this process. */
+
+import { readlinkSync } from "node:fs";
+import { type FileHandle, open } from "node:fs/promises";
+import { createDeferred } from "@mallowlift/core";
+
+/** Stops all syncs of files below a folder until it is released. */
+export class StalledDisk {
+  readonly #released = createDeferred<void>();
+  readonly #prototype: FileHandle;
+  readonly #datasync: FileHandle["datasync"];
+
+  private constructor(prototype: FileHandle) {
+    this.#prototype = prototype;
+    this.#datasync = prototype.datasync;
+  }
+
+  /** Starts the stall. */
+  static async start(folder: string): Promise<StalledDisk> {
+    const probe = await open("/dev/null");
+    const stall = new StalledDisk(Object.getPrototypeOf(probe) as FileHandle);
+    await probe.close();
+    const datasync = stall.#datasync;
+    const released = stall.#released.promise;
+    stall.#prototype.datasync = async function (this: FileHandle) {
+      const path = readlinkSync(`/proc/self/fd/${this.fd}`);
+      if (path.startsWith(`${folder}/`)) await released;
+      await datasync.call(this);
+    };
+    return stall;
+  }
+
+  /** Ends the stall; syncs that wait go on. */
+  release(): void {
+    this.#prototype.datasync = this.#datasync;
+    this.#released.resolve(undefined);
+  }
+}
--- a/packages/consensus/src/mocks/test_cluster.ts
+++ b/packages/consensus/src/mocks/test_cluster.ts
@@ -22,6 +22,7 @@
 import type { StateMachine } from "../group/state_machine.ts";
 import { FixedReplicas } from "../founding/replica_source.ts";
 import { ReplicaGroups } from "../replica_groups.ts";
+import { StalledDisk } from "./stalled_disk.ts";
 
 const KEY = "test";
 const GROUP = 1;
@@ -209,6 +210,11 @@
     for (const proxy of this.#proxies.values()) proxy.heal();
   }
 
+  /** Lets the disk of one replica answer no sync until it is released. */
+  async stallDisk(id: string): Promise<StalledDisk> {
+    return await StalledDisk.start(join(this.#folder, id));
+  }
+
   /** Commands that one replica has applied. */
   readCommands(id: string): readonly string[] {
     return this.#nodes.get(id)?.machine.commands ?? [];
--- a/packages/consensus/src/replica_groups_test.ts
+++ b/packages/consensus/src/replica_groups_test.ts
@@ -1,5 +1,6 @@
 import { performance } from "node:perf_hooks";
 import { setImmediate } from "node:timers/promises";
+import { waitAtMost } from "@mallowlift/core";
 import { test } from "tap";
 import { ListMachine, TestCluster } from "./mocks/test_cluster.ts";
 
@@ -206,6 +207,25 @@
   }
 });
 
+test("a leader whose disk stalls commits what the others have on disk", async (t) => {
+  const cluster = new TestCluster(t.testdir(), { ids: IDS });
+  t.teardown(() => cluster.stop());
+  await cluster.start();
+  await cluster.commit("before");
+  const leader = await cluster.waitForLeader();
+  const stall = await cluster.stallDisk(leader);
+  t.teardown(() => stall.release());
+  const proposed = cluster.propose(leader, { name: "stalled", attempt: 1 });
+  const isApplied = () => cluster.readCommands(leader).includes("stalled");
+  await cluster.waitFor("the leader applied", isApplied);
+  const applied = await waitAtMost(proposed, 10_000);
+  t.ok(applied?.ok, "the proposer is told before the disk answers");
+  stall.release();
+  await cluster.commit("after");
+  const isDone = () => IDS.every((id) => cluster.readCommands(id).length === 3);
+  await cluster.waitFor("all replicas applied", isDone);
+});
+
 test("a stop waits for a start that is under way", async (t) => {
   const cluster = new TestCluster(t.testdir(), { ids: IDS });
   t.teardown(() => cluster.stop());
