A gateway that stops takes no late request that it might have to cut

Cause: after SIGTERM a gateway went on taking requests until none was open, and cut what was left at 6.8 s. Where the other gateways of its failure domain are down the balancer goes on sending clients, so there is always one open. Change: after the least time (2.5 s) the gateway closes its port and resting connections and finishes what is open. The new test fails before.

--- a/packages/bench/src/gateways/gateway_test.ts
+++ b/packages/bench/src/gateways/gateway_test.ts
@@ -223,6 +223,39 @@
   t.ok(seen.whole);
 });
 
+test("a gateway that stops takes no late request that it might have to cut", async (t) => {
+  const running = await start(t, 1);
+  const { site } = running;
+  const [gateway] = site.gateways;
+  if (gateway === undefined) throw new Error("No gateway");
+  // The stream goes on well after the gateway has stopped taking requests.
+  for (const upstream of running.upstreams) {
+    upstream.events = 100;
+    upstream.faults.pauseMilliseconds = 50;
+  }
+  let isStreaming = true;
+  const streaming = askTurn(running, { id: "long" }).finally(() => {
+    isStreaming = false;
+  });
+  while (countRuns(running, "long") === 0) await sleep(10);
+  const stopped = gateway.process.stop();
+  let late = await callGateway(gateway.callersUrl, {
+    callId: "r-0",
+    path: "/read/x",
+  });
+  for (let round = 1; late.status !== 0 && isStreaming; round++) {
+    await sleep(50);
+    late = await callGateway(gateway.callersUrl, {
+      callId: `r-${round}`,
+      path: "/read/x",
+    });
+  }
+  t.ok(isStreaming, "late requests are turned away while a stream goes on");
+  const seen = await streaming;
+  t.ok(seen.whole, "the stream is finished");
+  await stopped;
+});
+
 test("a caller that leaves is felt at the upstream", async (t) => {
   const running = await start(t, 1);
   const { upstreams } = running;
--- a/packages/gateway/src/http/caller_server.ts
+++ b/packages/gateway/src/http/caller_server.ts
@@ -100,24 +100,29 @@
   }
 
   /**
-   * Goes on serving for the least time, then until no request is open, but no
-   * longer than the most.
+   * Goes on serving for the least time, in which the balancer takes the gateway
+   * out. Then it takes no new request, since it may not have the time to answer
+   * it, and waits until none is open, but no longer than the most.
    */
   async stop(times: {
     readonly leastMilliseconds: number;
     readonly mostMilliseconds: number;
   }): Promise<void> {
     this.#isStopping = true;
+    const { mostMilliseconds } = times;
+    const least = Math.min(times.leastMilliseconds, mostMilliseconds);
     const startedAt = performance.now();
+    const findPassed = () => performance.now() - startedAt;
     this.#server.closeIdleConnections();
-    while (true) {
+    while (findPassed() < least) {
       await sleep(STOP_LOOK_MILLISECONDS);
-      const passed = performance.now() - startedAt;
-      if (passed >= times.mostMilliseconds) break;
-      if (passed >= times.leastMilliseconds && this.#open === 0) break;
     }
     const closed = createDeferred<void>();
     this.#server.close(() => closed.resolve(undefined));
+    while (this.#open > 0 && findPassed() < mostMilliseconds) {
+      this.#server.closeIdleConnections();
+      await sleep(STOP_LOOK_MILLISECONDS);
+    }
     this.#server.closeIdleConnections();
     await Promise.race([closed.promise, sleep(STOP_LOOK_MILLISECONDS * 2)]);
     this.#server.closeAllConnections();
