Spares get their entries after a quorum that is behind

Change: while more than 200 entries wait for a quorum, spares hear their leader and get no entries. The new test fails before. Failed try: feeding two spares only.

--- a/packages/consensus/src/group/leadership.ts
+++ b/packages/consensus/src/group/leadership.ts
@@ -6,6 +6,7 @@
   type AppendRequest,
   fail,
   type Member,
+  MEMBER_ROLES,
   type MemberLag,
   type Outcome,
   RESULT_CODES,
@@ -30,6 +31,13 @@
 /** Heartbeats to a member that is busy with entries, in each election timeout. */
 const BUSY_HEARTBEATS = 2;
 
+/**
+ * Entries without a quorum above which members without a vote wait: about what
+ * a busy site proposes in a quarter of a second, so that the leader's way to
+ * the voters is the narrow place.
+ */
+const YIELD_ENTRIES = 200;
+
 /** What a leadership uses of its group. */
 export interface LeadershipParts {
   readonly term: number;
@@ -186,7 +194,9 @@
     while (!this.#over && !peer.removed) {
       await this.#waitForWork(peer);
       if (this.#over || peer.removed) break;
-      if (peer.nextIndex <= log.baseIndex) {
+      if (!this.#isFed(peer)) {
+        await this.#sendHeartbeat(peer, caller);
+      } else if (peer.nextIndex <= log.baseIndex) {
         await this.#sendSnapshot(peer, caller);
       } else await this.#sendEntries(peer, caller);
     }
@@ -199,22 +209,43 @@
     parts: { readonly caller: Caller; readonly pause: number },
   ): Promise<void> {
     if (this.#over || peer.removed || !peer.isBusy) return;
+    if (performance.now() - peer.sentAt < parts.pause) return;
+    await this.#callHeartbeat(peer, parts.caller);
+  }
+
+  /** Tells a member that gets no entries for now that its leader is there. */
+  async #sendHeartbeat(peer: PeerProgress, caller: Caller): Promise<void> {
+    peer.sentAt = performance.now();
+    const isHeard = await this.#callHeartbeat(peer, caller);
+    if (!isHeard && !this.#over) await sleep(RETRY_MILLISECONDS);
+  }
+
+  /** Sends a message without entries; false if it was not answered. */
+  async #callHeartbeat(peer: PeerProgress, caller: Caller): Promise<boolean> {
     const sentAt = performance.now();
-    if (sentAt - peer.sentAt < parts.pause) return;
-    const reply = await this.#callAppend(parts.caller, {
+    const reply = await this.#callAppend(caller, {
       peer,
       previousIndex: peer.matchIndex,
       entries: [],
       timeouts: 1,
     });
-    if (this.#over || peer.removed || reply.err) return;
+    if (this.#over || peer.removed || reply.err) return false;
     this.#noteHeard(peer, { reply: reply.val, sentAt });
+    return true;
+  }
+
+  /** True if a member gets entries now: spares yield while a quorum is behind. */
+  #isFed(peer: PeerProgress): boolean {
+    if (peer.member.role === MEMBER_ROLES.VOTER) return true;
+    const { log, getCommitIndex } = this.#parts;
+    return log.lastIndex - getCommitIndex() <= YIELD_ENTRIES;
   }
 
   async #waitForWork(peer: PeerProgress): Promise<void> {
     const heartbeat = this.#parts.options.timing.heartbeatMilliseconds;
     while (!this.#over && !peer.removed) {
-      if (peer.nextIndex <= this.#parts.log.lastIndex) return;
+      const isBehind = peer.nextIndex <= this.#parts.log.lastIndex;
+      if (isBehind && this.#isFed(peer)) return;
       if (peer.sentAt <= this.#confirmAt) return;
       const left = peer.sentAt + heartbeat - performance.now();
       if (left <= 0) return;
--- a/packages/consensus/src/mocks/test_cluster.ts
+++ b/packages/consensus/src/mocks/test_cluster.ts
@@ -74,6 +74,14 @@
   starting?: Promise<void>;
 }
 
+/** What a cluster is made of. */
+export interface ClusterOptions {
+  readonly ids: readonly string[];
+  /** Those of the ids that have no vote at first. */
+  readonly standbys?: readonly string[];
+  readonly snapshotEntries?: number;
+}
+
 /** A few replicas of one group. */
 export class TestCluster {
   readonly ids: readonly string[];
@@ -86,11 +94,7 @@
   /** Proxies by source and target. */
   readonly #proxies = new Map<string, FaultProxy>();
 
-  constructor(folder: string, options: {
-    readonly ids: readonly string[];
-    readonly standbys?: readonly string[];
-    readonly snapshotEntries?: number;
-  }) {
+  constructor(folder: string, options: ClusterOptions) {
     this.#folder = folder;
     this.ids = options.ids;
     this.#standbys = options.standbys ?? [];
--- a/packages/consensus/src/replica_groups.ts
+++ b/packages/consensus/src/replica_groups.ts
@@ -153,7 +153,7 @@
     // Whoever started the groups hears of a start that failed.
     await Promise.allSettled([this.#starting]);
     for (const group of this.#groups.values()) group.stop();
-    await this.#folder?.log.close();
+    await this.#folder?.close();
   }
 
   /** Handlers of the replicated log. */
--- a/packages/consensus/src/replica_groups_test.ts
+++ b/packages/consensus/src/replica_groups_test.ts
@@ -1,14 +1,27 @@
 import { performance } from "node:perf_hooks";
 import { setImmediate } from "node:timers/promises";
 import { waitAtMost } from "@mallowlift/core";
-import { test } from "tap";
-import { ListMachine, TestCluster } from "./mocks/test_cluster.ts";
+import { type Test, test } from "tap";
+import {
+  type ClusterOptions,
+  ListMachine,
+  TestCluster,
+} from "./mocks/test_cluster.ts";
 
 const IDS = ["r1", "r2", "r3"];
 
+/** Makes a cluster that is stopped when its test ends, whichever way. */
+function createCluster(t: Test, options: ClusterOptions): TestCluster {
+  const made: TestCluster[] = [];
+  // Tear-downs run in order: the replicas stop before their folder goes.
+  t.teardown(() => Promise.all(made.map((cluster) => cluster.stop())));
+  const cluster = new TestCluster(t.testdir(), options);
+  made.push(cluster);
+  return cluster;
+}
+
 test("every replica applies the same commands in the same order", async (t) => {
-  const cluster = new TestCluster(t.testdir(), { ids: IDS });
-  t.teardown(() => cluster.stop());
+  const cluster = createCluster(t, { ids: IDS });
   await cluster.start();
   const names = Array.from({ length: 50 }, (_, number) => `command-${number}`);
   const leader = await cluster.waitForLeader();
@@ -23,8 +36,7 @@
 });
 
 test("a command proposed again after an unclear outcome counts once", async (t) => {
-  const cluster = new TestCluster(t.testdir(), { ids: IDS });
-  t.teardown(() => cluster.stop());
+  const cluster = createCluster(t, { ids: IDS });
   await cluster.start();
   const leader = await cluster.waitForLeader();
   await cluster.propose(leader, { name: "unclear", attempt: 1 });
@@ -49,8 +61,7 @@
 });
 
 test("replicas that all start again elect without waiting for a silence", async (t) => {
-  const cluster = new TestCluster(t.testdir(), { ids: IDS });
-  t.teardown(() => cluster.stop());
+  const cluster = createCluster(t, { ids: IDS });
   await cluster.start();
   await cluster.commit("before");
   for (const id of IDS) await cluster.crash(id);
@@ -61,8 +72,7 @@
 });
 
 test("a leader cut off in silence can commit nothing and confirm nothing", async (t) => {
-  const cluster = new TestCluster(t.testdir(), { ids: IDS });
-  t.teardown(() => cluster.stop());
+  const cluster = createCluster(t, { ids: IDS });
   await cluster.start();
   await cluster.commit("before");
   const old = await cluster.waitForLeader();
@@ -81,11 +91,10 @@
 });
 
 test("a replica that comes back after hundreds of changes catches up by snapshot", async (t) => {
-  const cluster = new TestCluster(t.testdir(), {
+  const cluster = createCluster(t, {
     ids: IDS,
     snapshotEntries: 50,
   });
-  t.teardown(() => cluster.stop());
   await cluster.start();
   await cluster.commit("first");
   const leader = await cluster.waitForLeader();
@@ -104,11 +113,10 @@
 });
 
 test("a lost disk is repaired as a learner, then a second replica is lost", async (t) => {
-  const cluster = new TestCluster(t.testdir(), {
+  const cluster = createCluster(t, {
     ids: IDS,
     snapshotEntries: 50,
   });
-  t.teardown(() => cluster.stop());
   await cluster.start();
   for (let number = 0; number < 120; number++) {
     await cluster.commit(`c${number}`);
@@ -137,8 +145,7 @@
 });
 
 test("all disks are lost one after the other, each repaired before the next", async (t) => {
-  const cluster = new TestCluster(t.testdir(), { ids: IDS });
-  t.teardown(() => cluster.stop());
+  const cluster = createCluster(t, { ids: IDS });
   await cluster.start();
   await cluster.commit("first");
   for (const [round, id] of [...IDS, ...IDS].entries()) {
@@ -157,8 +164,7 @@
 
 test("a standby takes the place of a voter that stays silent", async (t) => {
   const ids = [...IDS, "s1"];
-  const cluster = new TestCluster(t.testdir(), { ids, standbys: ["s1"] });
-  t.teardown(() => cluster.stop());
+  const cluster = createCluster(t, { ids, standbys: ["s1"] });
   await cluster.start();
   await cluster.commit("before");
   const leader = await cluster.waitForLeader();
@@ -176,8 +182,7 @@
 });
 
 test("a slow way carries entries once, and the leader stays", async (t) => {
-  const cluster = new TestCluster(t.testdir(), { ids: IDS });
-  t.teardown(() => cluster.stop());
+  const cluster = createCluster(t, { ids: IDS });
   // A message of entries takes half of this on the slow way, all of them far more.
   cluster.electionMilliseconds = 600;
   await cluster.start();
@@ -207,9 +212,32 @@
   }
 });
 
+test("a spare gets its entries after a quorum that is behind", async (t) => {
+  const ids = [...IDS, "s1"];
+  const cluster = createCluster(t, { ids, standbys: ["s1"] });
+  cluster.electionMilliseconds = 1_000;
+  await cluster.start();
+  await cluster.commit("before");
+  const leader = await cluster.waitForLeader();
+  const isFollowing = () => cluster.readCommands("s1").length === 1;
+  await cluster.waitFor("the spare follows", isFollowing);
+  cluster.slowDown(leader, 400_000);
+  const filling = "x".repeat(1_000);
+  const names = Array.from({ length: 1_000 }, (_, number) => number + filling);
+  const applying = Promise.all(
+    names.map((name) => cluster.propose(leader, { name, attempt: 1 })),
+  );
+  const isHalfDone = () => cluster.readCommands(leader).length > 500;
+  await cluster.waitFor("a quorum has half", isHalfDone);
+  t.ok(cluster.readCommands("s1").length < 250, "the spare waits");
+  t.ok((await applying).every((outcome) => outcome?.ok));
+  const isDone = () =>
+    ids.every((id) => cluster.readCommands(id).length === 1_001);
+  await cluster.waitFor("all replicas applied, the spare too", isDone);
+});
+
 test("a leader whose disk stalls commits what the others have on disk", async (t) => {
-  const cluster = new TestCluster(t.testdir(), { ids: IDS });
-  t.teardown(() => cluster.stop());
+  const cluster = createCluster(t, { ids: IDS });
   await cluster.start();
   await cluster.commit("before");
   const leader = await cluster.waitForLeader();
@@ -227,8 +255,7 @@
 });
 
 test("a stop waits for a start that is under way", async (t) => {
-  const cluster = new TestCluster(t.testdir(), { ids: IDS });
-  t.teardown(() => cluster.stop());
+  const cluster = createCluster(t, { ids: IDS });
   await cluster.start();
   // The first replica has decided to found the site, and writes that down.
   const isFounding = () => IDS.find((id) => cluster.isFounding(id));
@@ -237,8 +264,7 @@
 });
 
 test("a planned stop hands the leadership over", async (t) => {
-  const cluster = new TestCluster(t.testdir(), { ids: IDS });
-  t.teardown(() => cluster.stop());
+  const cluster = createCluster(t, { ids: IDS });
   await cluster.start();
   await cluster.commit("before");
   const old = await cluster.waitForLeader();
@@ -250,8 +276,7 @@
 });
 
 test("a founder that missed the founding is told of the members", async (t) => {
-  const cluster = new TestCluster(t.testdir(), { ids: IDS });
-  t.teardown(() => cluster.stop());
+  const cluster = createCluster(t, { ids: IDS });
   await cluster.start();
   await cluster.commit("before");
   const leader = await cluster.waitForLeader();
@@ -271,8 +296,7 @@
 });
 
 test("a member that was removed and comes back is sent entries again", async (t) => {
-  const cluster = new TestCluster(t.testdir(), { ids: IDS });
-  t.teardown(() => cluster.stop());
+  const cluster = createCluster(t, { ids: IDS });
   // One leadership has to last, also where the processor is short.
   cluster.electionMilliseconds = 1_000;
   await cluster.start();
--- a/packages/consensus/src/storage/data_folder.ts
+++ b/packages/consensus/src/storage/data_folder.ts
@@ -4,7 +4,12 @@
 import { existsSync, mkdirSync, readFileSync } from "node:fs";
 import { join } from "node:path";
 import { Buffer } from "node:buffer";
-import type { LogEntry, Member, ReplicaIdentity } from "@mallowlift/core";
+import {
+  type LogEntry,
+  type Member,
+  type ReplicaIdentity,
+  waitAtMost,
+} from "@mallowlift/core";
 import { replaceFile } from "./durable_file.ts";
 import {
   type Snapshot,
@@ -32,6 +37,12 @@
   readonly entries: readonly LogEntry[];
 }
 
+/**
+ * Longest wait at a stop for a snapshot that is being written, ms: far above a
+ * usual one, and short beside the time in which a planned stop has to end.
+ */
+const CLOSE_MILLISECONDS = 1_000;
+
 /** An open data folder. */
 export class DataFolder {
   readonly identity: ReplicaIdentity;
@@ -123,6 +134,12 @@
     });
   }
 
+  /** Waits a while for a snapshot that is being written, then closes the log. */
+  async close(): Promise<void> {
+    await waitAtMost(this.#lastTurn, CLOSE_MILLISECONDS);
+    await this.log.close();
+  }
+
   async #inTurn(work: () => Promise<void>): Promise<void> {
     const turn = this.#lastTurn.then(work);
     this.#lastTurn = turn.catch(() => undefined);
