--- a/packages/bench/src/integration/leaving_test.ts
+++ b/packages/bench/src/integration/leaving_test.ts
@@ -1,5 +1,4 @@
 import { composeAnswer } from "@mallowlift/mocks";
-import { sleep } from "@mallowlift/core";
 import { test } from "tap";
 import { SITE_SERVICE } from "../site/seed_resources.ts";
 import { OPERATOR_TOKEN } from "../site/site_plan.ts";
@@ -57,14 +56,25 @@
     const role of ["entry-2", "engine-1", "replica-1", "replica-2", "replica-3"]
   ) {
     await t.test(`a planned stop of ${role} under load cuts off no request`, async (t) => {
+      // Calls that an engine runs, or has run: each has reached its entry.
+      const begun = new Set<string>();
       const loads = Array.from({ length: 6 }, async (_, number) => {
         const user = clients[number % 2] ?? client;
         const program = await createProgram(user, `stop-${role}-${number}`);
         const body = askModel("long", 60);
-        const answer = await user.streamModel(program, body);
+        let isAnswered = false;
+        const answering = user.streamModel(program, body)
+          .finally(() => isAnswered = true);
+        await waitFor(
+          "an engine runs it",
+          () =>
+            isAnswered || engines.some((engine) => engine.isRunning(program)),
+        );
+        begun.add(program);
+        const answer = await answering;
         return answer.whole && answer.text === composeAnswer(body.messages, 60);
       });
-      await sleep(300);
+      await waitFor("all calls are under way", () => begun.size === 6);
       const code = await site.get(role).process.stop();
       t.equal(code, 0);
       t.ok((await Promise.all(loads)).every((isWhole) => isWhole));
