--- /dev/null
+++ b/packages/consensus/src/slow_members_test.ts
@@ -0,0 +1,78 @@
+import { waitAtMost } from "@mallowlift/core";
+import { test } from "tap";
+import { createCluster } from "./mocks/create_cluster.ts";
+
+const IDS = ["r1", "r2", "r3"];
+
+test("a slow way carries entries once, and the leader stays", async (t) => {
+  const cluster = createCluster(t, { ids: IDS });
+  // A message of entries takes half of this on the slow way, all of them far more.
+  cluster.electionMilliseconds = 600;
+  await cluster.start();
+  await cluster.commit("before");
+  const leader = await cluster.waitForLeader();
+  const term = cluster.getGroup(leader)?.term;
+  const others = IDS.filter((id) => id !== leader);
+  const count = () => others.map((id) => cluster.countBytes(leader, id));
+  const before = count();
+  cluster.slowDown(leader, 400_000);
+  const filling = "x".repeat(20_000);
+  const applied = await Promise.all(
+    Array.from(
+      { length: 40 },
+      (_, number) =>
+        cluster.propose(leader, { name: `${number}${filling}`, attempt: 1 }),
+    ),
+  );
+  t.ok(applied.every((outcome) => outcome?.ok));
+  const isDone = () =>
+    IDS.every((id) => cluster.readCommands(id).length === 41);
+  await cluster.waitFor("all replicas applied", isDone);
+  t.equal(cluster.getGroup(leader)?.term, term, "nobody else was elected");
+  for (const [index, bytes] of count().entries()) {
+    const sent = bytes - (before[index] ?? 0);
+    t.ok(sent < 1.2 * 40 * filling.length, "entries were sent once");
+  }
+});
+
+test("a spare gets its entries after a quorum that is behind", async (t) => {
+  const ids = [...IDS, "s1"];
+  const cluster = createCluster(t, { ids, standbys: ["s1"] });
+  cluster.electionMilliseconds = 1_000;
+  await cluster.start();
+  await cluster.commit("before");
+  const leader = await cluster.waitForLeader();
+  const isFollowing = () => cluster.readCommands("s1").length === 1;
+  await cluster.waitFor("the spare follows", isFollowing);
+  cluster.slowDown(leader, 400_000);
+  const filling = "x".repeat(1_000);
+  const names = Array.from({ length: 1_000 }, (_, number) => number + filling);
+  const applying = Promise.all(
+    names.map((name) => cluster.propose(leader, { name, attempt: 1 })),
+  );
+  const isHalfDone = () => cluster.readCommands(leader).length > 500;
+  await cluster.waitFor("a quorum has half", isHalfDone);
+  t.ok(cluster.readCommands("s1").length < 250, "the spare waits");
+  t.ok((await applying).every((outcome) => outcome?.ok));
+  const isDone = () =>
+    ids.every((id) => cluster.readCommands(id).length === 1_001);
+  await cluster.waitFor("all replicas applied, the spare too", isDone);
+});
+
+test("a leader whose disk stalls commits what the others have on disk", async (t) => {
+  const cluster = createCluster(t, { ids: IDS });
+  await cluster.start();
+  await cluster.commit("before");
+  const leader = await cluster.waitForLeader();
+  const stall = await cluster.stallDisk(leader);
+  t.teardown(() => stall.release());
+  const proposed = cluster.propose(leader, { name: "stalled", attempt: 1 });
+  const isApplied = () => cluster.readCommands(leader).includes("stalled");
+  await cluster.waitFor("the leader applied", isApplied);
+  const applied = await waitAtMost(proposed, 10_000);
+  t.ok(applied?.ok, "the proposer is told before the disk answers");
+  stall.release();
+  await cluster.commit("after");
+  const isDone = () => IDS.every((id) => cluster.readCommands(id).length === 3);
+  await cluster.waitFor("all replicas applied", isDone);
+});
