Upstreams that fail at once or hang draw no load

Change: UpstreamHealth, a module without network. A failed answer says nothing of speed and rests the upstream; requests that fail together count once; the wait of the oldest request counts as the expected time; after a rest an upstream is tried first with what may be repeated, and a history leaves it. A call that may be repeated goes on to another upstream after a 500 and gets that 500 if no other answers. If more than half of four or more seem to have failed, all are tried.

--- a/packages/gateway/src/calls/judge_answer.ts
+++ b/packages/gateway/src/calls/judge_answer.ts
@@ -4,6 +4,13 @@
 import type { AnswerFacts } from "../dialect.ts";
 import type { Belonging } from "../upstreams/upstream_connection.ts";
 
+const FIRST_SERVER_ERROR = 500;
+
+/** True if the status says that the upstream itself failed. */
+export function isServerFailure(status: number): boolean {
+  return status >= FIRST_SERVER_ERROR;
+}
+
 /** What the head of an answer means for the request that waits. */
 export interface Judgement {
   readonly belonging: Belonging;
--- a/packages/gateway/src/calls/run_attempt.ts
+++ b/packages/gateway/src/calls/run_attempt.ts
@@ -12,7 +12,7 @@
 import type { AnswerHead, CallerDialect } from "../dialect.ts";
 import { findHeader } from "../http/headers.ts";
 import type { ConnectionLimits, Upstream } from "../upstreams/upstream.ts";
-import { judgeAnswer } from "./judge_answer.ts";
+import { isServerFailure, judgeAnswer } from "./judge_answer.ts";
 import type {
   AnswerListener,
   Belonging,
@@ -28,6 +28,14 @@
 /** Time without work for an upstream that says it is full, ms: about one short request. */
 const FULL_MILLISECONDS = 60;
 
+/**
+ * Shortest wait without a head that tells against an upstream when the call's
+ * time runs out or its caller leaves, ms: longer than a queue of short requests.
+ */
+const HANGING_MILLISECONDS = 500;
+/** Status of an upstream that the time it was given did not suffice. */
+const TIME_PASSED = 504;
+
 /** How an attempt ended. */
 export type AttemptEnd =
   | {
@@ -96,8 +104,8 @@
 function refuseConnection(upstream: Upstream, error: CodedError): AttemptEnd {
   const now = performance.now();
   if (error.code === RESULT_CODES.QUEUE_FULL) {
-    upstream.noteFull(now, FULL_MILLISECONDS);
-  } else upstream.noteFailure(now);
+    upstream.health.noteFull(now, FULL_MILLISECONDS);
+  } else upstream.health.noteFailure(now);
   return { kind: "not_run", error };
 }
 
@@ -125,7 +133,7 @@
   async run(): Promise<AttemptEnd> {
     const { upstream, limits, signal, request } = this.#options;
     const connection = this.#connection;
-    const abort = () => this.#giveUp(RESULT_CODES.CALL_TIMEOUT);
+    const abort = () => this.#endTime();
     const silence = setTimeout(
       () => this.#endSilence(),
       this.#options.silentMilliseconds,
@@ -133,8 +141,10 @@
     signal.addEventListener("abort", abort, { once: true });
     connection.onIdle = () =>
       upstream.release(connection, limits, performance.now());
+    upstream.health.noteSent(this, this.#sentAt);
     connection.send(request, this);
     const end = await this.#done.promise;
+    upstream.health.noteHeard(this);
     clearTimeout(silence);
     signal.removeEventListener("abort", abort);
     return end;
@@ -144,6 +154,7 @@
     const { dialect, callId, events } = this.#options;
     const judged = judgeAnswer(dialect.readAnswer(head), callId);
     if (judged.belonging !== "own") return judged.belonging;
+    this.#options.upstream.health.noteHeard(this);
     this.#noteRest(head);
     if (judged.notRun !== undefined) this.#noteNotRun(judged.notRun);
     this.#head = head;
@@ -179,7 +190,7 @@
     const isCut = this.#isStream &&
       this.#options.events?.isAtEventEnd() === false;
     if (isCut) return this.#giveUp(RESULT_CODES.ANSWER_SPOILED);
-    if (!this.#isStream && !this.#isPassedOn) this.#noteTime();
+    if (!this.#isStream && !this.#isPassedOn) this.#noteResult(head);
     this.#done.resolve({
       kind: "whole",
       head,
@@ -192,7 +203,7 @@
     if (this.#notRun !== undefined) {
       return this.#done.resolve({ kind: "not_run", error: this.#notRun });
     }
-    this.#options.upstream.noteFailure(performance.now());
+    this.#options.upstream.health.noteFailure(performance.now());
     this.#done.resolve({ kind: "lost", error: describe(code, message) });
   }
 
@@ -205,7 +216,7 @@
       return;
     }
     this.#isPassedOn = true;
-    this.#noteTime();
+    this.#noteResult(head);
     this.#options.body.start(head);
     for (const part of this.#parts.splice(0)) this.#passOn(part);
   }
@@ -219,25 +230,41 @@
 
   #endSilence(): void {
     if (this.#head !== undefined) return;
-    this.#options.upstream.noteFailure(performance.now());
+    this.#options.upstream.health.noteFailure(performance.now());
     this.#giveUp(RESULT_CODES.TIMEOUT);
   }
 
+  /** The call's time is over, or its caller has left. */
+  #endTime(): void {
+    const now = performance.now();
+    const isHanging = this.#head === undefined &&
+      now - this.#sentAt >= HANGING_MILLISECONDS;
+    if (isHanging) this.#options.upstream.health.noteFailure(now);
+    this.#giveUp(RESULT_CODES.CALL_TIMEOUT);
+  }
+
   #giveUp(code: ResultCode): void {
     this.#connection.destroy();
     this.#done.resolve({ kind: "lost", error: describe(code) });
   }
 
+  /** A failure says nothing of how fast the upstream is. */
+  #noteResult(head: AnswerHead): void {
+    if (head.status === TIME_PASSED) return;
+    if (!isServerFailure(head.status)) return this.#noteTime();
+    this.#options.upstream.health.noteFailure(performance.now());
+  }
+
   #noteTime(): void {
     const now = performance.now();
-    this.#options.upstream.noteTime(now - this.#sentAt, now);
+    this.#options.upstream.health.noteTime(now - this.#sentAt, now);
   }
 
   #noteNotRun(error: CodedError): void {
     const { upstream } = this.#options;
     this.#notRun = error;
     if (error.code === RESULT_CODES.NO_UPSTREAM) upstream.retire();
-    else upstream.noteFull(performance.now(), FULL_MILLISECONDS);
+    else upstream.health.noteFull(performance.now(), FULL_MILLISECONDS);
   }
 
   #noteRest(head: AnswerHead): void {
--- a/packages/gateway/src/calls/send_call.ts
+++ b/packages/gateway/src/calls/send_call.ts
@@ -7,12 +7,14 @@
   countRetry,
   RESULT_CODES,
   type ResultCode,
+  type Route,
   ROUTE_KINDS,
   sleep,
 } from "@mallowlift/core";
 import type { ConnectionLimits, Upstream } from "../upstreams/upstream.ts";
 import { BodyRelay } from "./body_relay.ts";
 import type { CallFailure, CallParts } from "./call_parts.ts";
+import { isServerFailure } from "./judge_answer.ts";
 import type { OpenCall } from "./open_call.ts";
 import { type AttemptEnd, type EventSink, runAttempt } from "./run_attempt.ts";
 
@@ -28,6 +30,11 @@
 /** Connections that are left to health checks and to gateways not yet known. */
 const SPARE_GATEWAYS = 1;
 
+const UPSTREAM_FAILED: CodedError = {
+  code: RESULT_CODES.OUTCOME_UNKNOWN,
+  message: "The upstream answered that it failed",
+};
+
 /** What is sent, and where it would be served best. */
 export interface SendOptions {
   readonly body: Buffer;
@@ -50,11 +57,12 @@
   options: SendOptions,
 ): Promise<SendEnd> {
   const { route, arrivedAt } = call.parts;
-  const isIdempotent = route.kind === ROUTE_KINDS.IDEMPOTENT;
+  const mayRepeat = isRepeatable(route);
   const tried = new Set<string>();
   const offeredUntil = arrivedAt + OFFER_PART * (call.deadlineAt - arrivedAt);
   let runs = 0;
   let refusals = 0;
+  let failed: SendEnd | undefined;
   let last: CodedError = {
     code: RESULT_CODES.NO_UPSTREAM,
     message: RESULT_CODES.NO_UPSTREAM.meaning,
@@ -69,14 +77,17 @@
       await sleep(FULL_PAUSE_MILLISECONDS, call.signal);
       continue;
     }
-    const isLast = !isIdempotent || runs + 1 >= route.maxAttempts;
+    const isLast = !mayRepeat || runs + 1 >= route.maxAttempts;
     const end = await runAt(upstream, call, { parts, options, now, isLast });
     call.story.upstream = upstream.instance.id;
     if (end.kind === "whole") {
-      return { answer: end, upstream: upstream.instance.id };
+      const sent = { answer: end, upstream: upstream.instance.id };
+      if (isLast || !isFailure(end, call)) return sent;
+      // The caller gets this one after all if no other upstream answers.
+      failed = sent;
     }
-    last = end.error;
-    noteFailedAttempt(call, parts, { end, upstream });
+    last = end.kind === "whole" ? UPSTREAM_FAILED : end.error;
+    noteFailedAttempt(call, parts, { kind: end.kind, error: last, upstream });
     countRetry(parts.metrics, "gateway", last.code);
     tried.add(upstream.instance.id);
     if (end.kind === "not_run") {
@@ -84,33 +95,48 @@
       continue;
     }
     runs++;
-    if (!isIdempotent || runs >= route.maxAttempts) break;
+    if (!mayRepeat || runs >= route.maxAttempts) break;
     // What the caller has seen of an answer cannot be taken back.
     if (call.hasAnswered) break;
   }
+  if (failed !== undefined && !call.hasLeft) return failed;
   if (call.signal.aborted) last = describeAbort(call, runs);
   return { failure: { error: last, notRun: runs === 0 } };
 }
 
+/** True if an upstream answered that it failed, and another may be asked. */
+function isFailure(
+  answer: AttemptEnd & { kind: "whole" },
+  call: OpenCall,
+): boolean {
+  return isServerFailure(answer.head.status) && !call.hasAnswered;
+}
+
+/** True if a call may run at another upstream after one that may have run it. */
+function isRepeatable(route: Route): boolean {
+  return route.kind === ROUTE_KINDS.IDEMPOTENT;
+}
+
 /** One line for each attempt that brought no answer, with what it went by. */
 function noteFailedAttempt(
   call: OpenCall,
   parts: CallParts,
   details: {
-    readonly end: Exclude<AttemptEnd, { kind: "whole" }>;
+    readonly kind: AttemptEnd["kind"];
+    readonly error: CodedError;
     readonly upstream: Upstream;
   },
 ): void {
-  const { end, upstream } = details;
+  const { kind, error, upstream } = details;
   if (call.hasLeft) return;
   const now = performance.now();
   parts.logger.info("Attempt failed", {
     call: call.parts.facts.callId,
     program: call.parts.facts.programId,
     upstream: upstream.instance.id,
-    outcome: end.kind,
-    code: end.error.code.name,
-    reason: end.error.message,
+    outcome: kind,
+    code: error.code.name,
+    reason: error.message,
     send: call.story.sends,
     running: upstream.running,
     list_age_ms: Math.round(parts.findListAge(now)),
@@ -142,6 +168,7 @@
     tried: details.tried,
     preferredId: details.options.preferredId,
     objectKey: route.prefersSameUpstream ? facts.objectKey : "",
+    isRepeatable: isRepeatable(route),
     gateways: parts.countGateways(),
     now: details.now,
   });
--- a/packages/gateway/src/upstreams/upstream.ts
+++ b/packages/gateway/src/upstreams/upstream.ts
@@ -4,15 +4,8 @@
 import { fail, RESULT_CODES } from "@mallowlift/core";
 import { Ok } from "ts-results";
 import { UpstreamConnection } from "./upstream_connection.ts";
+import { UpstreamHealth } from "./upstream_health.ts";
 
-/** Weight of the newest time in the running mean: about the last ten answers count. */
-const NEWEST_WEIGHT = 0.15;
-/** First time out of use after a failure, ms; doubles with each further one. */
-const FIRST_REST_MILLISECONDS = 200;
-/** Longest time out of use, ms: an upstream that is back is found again soon. */
-const LAST_REST_MILLISECONDS = 4_000;
-/** Time in which a mean loses half of its distance from the others', ms. */
-const FADE_MILLISECONDS = 4_000;
 /** Margin before an upstream closes a resting connection, ms. */
 const REST_MARGIN_MILLISECONDS = 700;
 /** Rest assumed where an upstream does not say, ms: below one whole second. */
@@ -30,17 +23,15 @@
   readonly idleMilliseconds: number;
 }
 
-/** Connections to one upstream, and how it has done. */
+/** Connections to one upstream. */
 export class Upstream {
   instance: UpstreamInstance;
+  /** How it has done. */
+  readonly health = new UpstreamHealth();
   /** Requests of this gateway that are with the upstream. */
   running = 0;
   readonly #resting: RestingConnection[] = [];
   #open = 0;
-  #meanMilliseconds = -1;
-  #measuredAt = 0;
-  #failures = 0;
-  #restsUntil = -Infinity;
   #isGone = false;
 
   constructor(instance: UpstreamInstance) {
@@ -52,9 +43,9 @@
     return this.#isGone;
   }
 
-  /** True if new work may be sent. */
-  isUsable(now: number): boolean {
-    return !this.#isGone && !this.instance.leaving && now >= this.#restsUntil;
+  /** True if the instance is there and stays. */
+  get isStaying(): boolean {
+    return !this.#isGone && !this.instance.leaving;
   }
 
   /** True if a connection rests that the next request can use. */
@@ -63,41 +54,6 @@
     return newest !== undefined && newest.until > now;
   }
 
-  /** Mean time of an answer, drawn towards the given one as it ages. */
-  findMean(now: number, common: number): number {
-    if (this.#meanMilliseconds < 0) return common;
-    const age = now - this.#measuredAt;
-    const trust = 0.5 ** (age / FADE_MILLISECONDS);
-    return common + (this.#meanMilliseconds - common) * trust;
-  }
-
-  /** True if any time has been measured. */
-  get isMeasured(): boolean {
-    return this.#meanMilliseconds >= 0;
-  }
-
-  /** Takes the time that an answer took. */
-  noteTime(milliseconds: number, now: number): void {
-    this.#failures = 0;
-    this.#measuredAt = now;
-    this.#meanMilliseconds = this.#meanMilliseconds < 0
-      ? milliseconds
-      : this.#meanMilliseconds +
-        NEWEST_WEIGHT * (milliseconds - this.#meanMilliseconds);
-  }
-
-  /** Takes the upstream out of use for a time that grows with each failure. */
-  noteFailure(now: number): void {
-    const rest = FIRST_REST_MILLISECONDS * 2 ** this.#failures;
-    this.#failures++;
-    this.#restsUntil = now + Math.min(rest, LAST_REST_MILLISECONDS);
-  }
-
-  /** Takes the upstream out of use for a time: it said that it is full. */
-  noteFull(now: number, milliseconds: number): void {
-    this.#restsUntil = Math.max(this.#restsUntil, now + milliseconds);
-  }
-
   /** The instance has ended: its connections are not used again. */
   retire(): void {
     this.#isGone = true;
--- a/packages/gateway/src/upstreams/upstream_table.ts
+++ b/packages/gateway/src/upstreams/upstream_table.ts
@@ -23,6 +23,17 @@
 /** How much worse an upstream looks to which a connection must be made first. */
 const NEW_CONNECTION = 1.1;
 
+/**
+ * How much worse an upstream looks that has failed lately, for what may not be
+ * repeated: a call that can go elsewhere finds out whether it works again.
+ */
+const PROBATION = 4;
+
+/** Upstreams from which on it is believed that not all of them can have failed. */
+const MANY_UPSTREAMS = 4;
+/** Part of many upstreams that failures may take out of use at once. */
+const MOST_RESTING = 0.5;
+
 /** What the choice goes by. */
 export interface ChoiceOptions {
   readonly service: string;
@@ -32,6 +43,8 @@
   readonly preferredId: string;
   /** Same for all requests on one object; empty if none. */
   readonly objectKey: string;
+  /** True if the call can go to another upstream after a failure. */
+  readonly isRepeatable: boolean;
   /** Gateways that share the upstreams. */
   readonly gateways: number;
   readonly now: number;
@@ -83,19 +96,18 @@
 
   /** Chooses an upstream for one attempt; undefined if none is usable. */
   choose(options: ChoiceOptions): Upstream | undefined {
-    const { service, tried, now } = options;
-    const upstreams = this.#byService.get(service) ?? [];
-    const usable = upstreams.filter((upstream) =>
-      upstream.isUsable(now) && !tried.has(upstream.instance.id)
-    );
+    const { service, now } = options;
+    const usable = listUsable(this.#byService.get(service) ?? [], options);
     if (usable.length === 0) return undefined;
     const common = findCommonMean(usable, now);
     const score = (upstream: Upstream) =>
-      upstream.findMean(now, common) * (1 + findLoad(upstream, options)) *
+      upstream.health.findExpected(now, common) *
+      (1 + findLoad(upstream, options)) *
       (upstream.instance.failureDomain === this.#failureDomain
         ? 1
         : OTHER_DOMAIN) *
-      (upstream.hasResting(now) ? 1 : NEW_CONNECTION);
+      (upstream.hasResting(now) ? 1 : NEW_CONNECTION) *
+      (isAvoided(upstream, options) ? PROBATION : 1);
     const scores = new Map(
       usable.map((upstream) => [upstream, score(upstream)]),
     );
@@ -103,6 +115,7 @@
     const best = this.#findLeast(usable, getScore);
     const loyal = findLoyal(usable, options);
     if (loyal === undefined) return best;
+    if (loyal.health.isOnProbation(now)) return best;
     return getScore(loyal) <= LOYALTY * getScore(best) ? loyal : best;
   }
 
@@ -122,6 +135,28 @@
   }
 }
 
+/** Those that may get a call now. */
+function listUsable(
+  upstreams: readonly Upstream[],
+  options: ChoiceOptions,
+): readonly Upstream[] {
+  const { tried, now } = options;
+  const staying = upstreams.filter((upstream) =>
+    upstream.isStaying && !upstream.health.isFull(now)
+  );
+  const rested = staying.filter((upstream) => !upstream.health.isResting(now));
+  // If most seem to have failed, what failed is more likely the way there.
+  const isDoubtful = staying.length >= MANY_UPSTREAMS &&
+    rested.length < (1 - MOST_RESTING) * staying.length;
+  const allowed = isDoubtful ? staying : rested;
+  return allowed.filter((upstream) => !tried.has(upstream.instance.id));
+}
+
+/** True if a call that may not be repeated should rather go elsewhere. */
+function isAvoided(upstream: Upstream, options: ChoiceOptions): boolean {
+  return !options.isRepeatable && upstream.health.isOnProbation(options.now);
+}
+
 /** Own requests stand for those of all gateways, which choose alike. */
 function findLoad(upstream: Upstream, options: ChoiceOptions): number {
   const slots = Math.max(1, upstream.instance.slots);
@@ -129,11 +164,10 @@
 }
 
 function findCommonMean(upstreams: readonly Upstream[], now: number): number {
-  const measured = upstreams.filter((upstream) => upstream.isMeasured);
+  const measured = upstreams.filter((upstream) => upstream.health.isMeasured);
   if (measured.length === 0) return FIRST_MEAN_MILLISECONDS;
-  const means = measured.map((upstream) => upstream.findMean(now, 0)).sort(
-    (left, right) => left - right,
-  );
+  const means = measured.map((upstream) => upstream.health.findMean(now, 0))
+    .sort((left, right) => left - right);
   return means[Math.floor(means.length / 2)] ?? FIRST_MEAN_MILLISECONDS;
 }
 
--- a/packages/mocks/src/opaque/opaque_upstream.ts
+++ b/packages/mocks/src/opaque/opaque_upstream.ts
@@ -13,6 +13,7 @@
 
 const OK = 200;
 const MISDIRECTED = 421;
+const FAILED = 500;
 const UNAVAILABLE = 503;
 /** Parts of the answer to a target with "large", and bytes of each. */
 const LARGE_PARTS = 20;
@@ -32,6 +33,8 @@
 export interface OpaqueFaults {
   /** Says that it did not run the request. */
   isFull: boolean;
+  /** Runs the request and answers that it failed. */
+  fails: boolean;
   /** Runs the request and closes without an answer. */
   losesAnswers: boolean;
   /** Closes a stream after this many events; Infinity for never. */
@@ -50,6 +53,7 @@
   readonly left: string[] = [];
   readonly faults: OpaqueFaults = {
     isFull: false,
+    fails: false,
     losesAnswers: false,
     cutsAfter: Infinity,
     pauseMilliseconds: 1,
@@ -106,6 +110,7 @@
     response.on("close", () => {
       if (!response.writableFinished) this.left.push(callId);
     });
+    if (this.faults.fails) return void response.writeHead(FAILED).end("failed");
     if (this.faults.losesAnswers) return void request.socket.destroy();
     if (this.faults.silentMilliseconds > 0) {
       await sleep(this.faults.silentMilliseconds);
