A stream that may be resumed goes on at another upstream

Cause: a route's 'resumable' was not read, so a stream that an upstream cut or let stand was lost to its caller, and the program had to send the turn again.

Change: such a route may be repeated. A broken stream goes on at another upstream after the last event that the caller has, with the first head and no event twice; silence within a stream counts as broken where another attempt may follow. The silence that ends an attempt grows with what the service takes now, so that a queue everywhere does not double the work.

Resumption itself is not measured yet.

--- a/packages/bench/src/gateways/test_document.ts
+++ b/packages/bench/src/gateways/test_document.ts
@@ -28,6 +28,13 @@
       keepsHistory: true,
       retentionMilliseconds: 600_000,
     },
+    {
+      ...ROUTE,
+      name: "resumable",
+      pathPrefix: "/resumable-stream/",
+      kind: "stream",
+      isResumable: true,
+    },
   ],
   services: [{
     name: "s",
--- a/packages/core/src/types/routing.ts
+++ b/packages/core/src/types/routing.ts
@@ -6,7 +6,7 @@
   IDEMPOTENT: "idempotent",
   /** Runs at most once for each attempt of a caller. */
   ONCE: "once",
-  /** Runs at most once and answers with a series of events. */
+  /** Answers with a series of events; runs at most once unless it may be resumed. */
   STREAM: "stream",
 } as const;
 
@@ -38,6 +38,11 @@
   /** True if a turn brings its new input only, and the site keeps the rest. */
   readonly keepsHistory: boolean;
   readonly retentionMilliseconds: number;
+  /**
+   * True if a stream that breaks off may go on at another upstream after the
+   * last event that was passed on; false if missing.
+   */
+  readonly isResumable?: boolean;
   /** True if an upstream that has seen an object lately is faster for it. */
   readonly prefersSameUpstream: boolean;
 }
--- a/packages/gateway/src/calls/run_attempt.ts
+++ b/packages/gateway/src/calls/run_attempt.ts
@@ -55,6 +55,8 @@
   push(bytes: Buffer): boolean;
   /** True if no event waits for its end. */
   isAtEventEnd(): boolean;
+  /** Id of the last event that was passed on; empty if there is none. */
+  readonly lastId: string;
 }
 
 /** Takes a large answer as it comes. */
@@ -77,6 +79,8 @@
   readonly signal: AbortSignal;
   /** Silence before the head after which the attempt is given up, ms. */
   readonly silentMilliseconds: number;
+  /** Silence within a stream after which it goes on elsewhere, ms. */
+  readonly pauseMilliseconds: number;
   /** Missing if the route does not answer with events. */
   readonly events?: EventSink;
   readonly body: BodySink;
@@ -124,6 +128,7 @@
   #isStream = false;
   #isPassedOn = false;
   #notRun: CodedError | undefined;
+  #silence: NodeJS.Timeout | undefined;
 
   constructor(options: AttemptOptions, connection: UpstreamConnection) {
     this.#options = options;
@@ -134,10 +139,7 @@
     const { upstream, limits, signal, request } = this.#options;
     const connection = this.#connection;
     const abort = () => this.#endTime();
-    const silence = setTimeout(
-      () => this.#endSilence(),
-      this.#options.silentMilliseconds,
-    );
+    this.#watchSilence(this.#options.silentMilliseconds);
     signal.addEventListener("abort", abort, { once: true });
     connection.onIdle = () =>
       upstream.release(connection, limits, performance.now());
@@ -145,7 +147,7 @@
     connection.send(request, this);
     const end = await this.#done.promise;
     upstream.health.noteHeard(this);
-    clearTimeout(silence);
+    clearTimeout(this.#silence);
     signal.removeEventListener("abort", abort);
     return end;
   }
@@ -158,11 +160,13 @@
     this.#noteRest(head);
     if (judged.notRun !== undefined) this.#noteNotRun(judged.notRun);
     this.#head = head;
+    clearTimeout(this.#silence);
     const type = findHeader(head.headers, "content-type") ?? "";
     this.#isStream = events !== undefined && head.status === 200 &&
       this.#notRun === undefined && type.startsWith("text/event-stream");
     if (this.#isStream) {
       this.#noteTime();
+      this.#watchSilence(this.#options.pauseMilliseconds);
       events?.start(head);
     }
     return "own";
@@ -170,6 +174,7 @@
 
   onBody(bytes: Buffer): void {
     if (this.#isStream) {
+      this.#silence?.refresh();
       if (this.#options.events?.push(bytes) === false) {
         this.#giveUp(RESULT_CODES.ANSWER_SPOILED);
       }
@@ -228,8 +233,12 @@
     body.onReady(() => this.#connection.resume());
   }
 
+  #watchSilence(milliseconds: number): void {
+    if (!Number.isFinite(milliseconds)) return;
+    this.#silence = setTimeout(() => this.#endSilence(), milliseconds);
+  }
+
   #endSilence(): void {
-    if (this.#head !== undefined) return;
     this.#options.upstream.health.noteFailure(performance.now());
     this.#giveUp(RESULT_CODES.TIMEOUT);
   }
--- a/packages/gateway/src/calls/send_call.ts
+++ b/packages/gateway/src/calls/send_call.ts
@@ -11,6 +11,8 @@
   ROUTE_KINDS,
   sleep,
 } from "@mallowlift/core";
+import type { RawHeaders } from "../dialect.ts";
+import { dropHopHeaders } from "../http/headers.ts";
 import type { ConnectionLimits, Upstream } from "../upstreams/upstream.ts";
 import { BodyRelay } from "./body_relay.ts";
 import type { CallFailure, CallParts } from "./call_parts.ts";
@@ -30,6 +32,9 @@
 /** Connections that are left to health checks and to gateways not yet known. */
 const SPARE_GATEWAYS = 1;
 
+/** Times that an answer usually takes after which silence means a failure. */
+const SILENT_TIMES = 4;
+const LAST_EVENT: ReadonlySet<string> = new Set(["last-event-id"]);
 const UPSTREAM_FAILED: CodedError = {
   code: RESULT_CODES.OUTCOME_UNKNOWN,
   message: "The upstream answered that it failed",
@@ -80,7 +85,7 @@
     const isLast = !mayRepeat || runs + 1 >= route.maxAttempts;
     const end = await runAt(upstream, call, { parts, options, now, isLast });
     call.story.upstream = upstream.instance.id;
-    if (end.kind === "whole") {
+    if (end.kind === "whole" && isAnswer(end, call)) {
       const sent = { answer: end, upstream: upstream.instance.id };
       if (isLast || !isFailure(end, call)) return sent;
       // The caller gets this one after all if no other upstream answers.
@@ -97,13 +102,21 @@
     runs++;
     if (!mayRepeat || runs >= route.maxAttempts) break;
     // What the caller has seen of an answer cannot be taken back.
-    if (call.hasAnswered) break;
+    if (call.hasAnswered && !mayResume(call, options)) break;
   }
   if (failed !== undefined && !call.hasLeft) return failed;
   if (call.signal.aborted) last = describeAbort(call, runs);
   return { failure: { error: last, notRun: runs === 0 } };
 }
 
+/** True unless the caller has seen the beginning of another answer. */
+function isAnswer(
+  answer: AttemptEnd & { kind: "whole" },
+  call: OpenCall,
+): boolean {
+  return answer.streamed || !call.hasAnswered;
+}
+
 /** True if an upstream answered that it failed, and another may be asked. */
 function isFailure(
   answer: AttemptEnd & { kind: "whole" },
@@ -114,7 +127,17 @@
 
 /** True if a call may run at another upstream after one that may have run it. */
 function isRepeatable(route: Route): boolean {
-  return route.kind === ROUTE_KINDS.IDEMPOTENT;
+  return route.kind === ROUTE_KINDS.IDEMPOTENT || isResumable(route);
+}
+
+function isResumable(route: Route): boolean {
+  return route.kind === ROUTE_KINDS.STREAM && route.isResumable === true;
+}
+
+/** True if a stream that has begun can go on after its last event. */
+function mayResume(call: OpenCall, options: SendOptions): boolean {
+  return isResumable(call.parts.route) && options.events !== undefined &&
+    options.events.lastId !== "";
 }
 
 /** One line for each attempt that brought no answer, with what it went by. */
@@ -198,22 +221,43 @@
     // Silence alone ends an attempt only where another one may follow.
     silentMilliseconds: details.isLast
       ? left
-      : Math.min(left, parts.settings.silentMilliseconds),
+      : Math.min(left, findSilence(call, parts, now)),
+    pauseMilliseconds: details.isLast || !isResumable(route)
+      ? Infinity
+      : parts.settings.silentMilliseconds,
     events: options.events,
     body: new BodyRelay(call),
     request: {
       method: head.method,
       target: head.target,
-      headers: parts.dialect.writeAttempt(head.headers, {
-        remainingMilliseconds: Math.max(1, Math.floor(left)),
-        instanceId: upstream.instance.id,
-        priority: route.priority,
-      }),
+      headers: addLastEvent(
+        parts.dialect.writeAttempt(head.headers, {
+          remainingMilliseconds: Math.max(1, Math.floor(left)),
+          instanceId: upstream.instance.id,
+          priority: route.priority,
+        }),
+        options.events?.lastId ?? "",
+      ),
       body: options.body,
     },
   });
 }
 
+/**
+ * Silence after which a call goes elsewhere, ms. It grows with what the service
+ * takes now, so that a queue that all upstreams have does not double their work.
+ */
+function findSilence(call: OpenCall, parts: CallParts, now: number): number {
+  const typical = parts.upstreams.findTypical(call.parts.service, now);
+  return Math.max(parts.settings.silentMilliseconds, SILENT_TIMES * typical);
+}
+
+/** Asks an upstream to go on after an event that the caller has. */
+function addLastEvent(headers: RawHeaders, lastId: string): RawHeaders {
+  if (lastId === "") return headers;
+  return [...dropHopHeaders(headers, LAST_EVENT), "Last-Event-Id", lastId];
+}
+
 function findLimits(call: OpenCall, parts: CallParts): ConnectionLimits {
   const { table, service } = call.parts;
   const all = table.findService(service)?.maxConnections ?? 1;
--- a/packages/gateway/src/http/event_splitter.ts
+++ b/packages/gateway/src/http/event_splitter.ts
@@ -16,6 +16,11 @@
     return this.#rest.length === 0;
   }
 
+  /** Forgets the part of an event that has come. */
+  clear(): void {
+    this.#rest = Buffer.alloc(0);
+  }
+
   /** Takes bytes and returns the events that are now whole, blank line included. */
   push(bytes: Buffer): readonly Buffer[] {
     const all = this.#rest.length === 0
@@ -50,6 +55,14 @@
   return Buffer.from(`${lines.join("\n")}\n`, "latin1");
 }
 
+/** The id of an event; undefined if it has none. */
+export function readEventId(event: Buffer): string | undefined {
+  for (const line of event.toString("latin1").split(/\r?\n/)) {
+    if (line.startsWith("id:")) return line.slice(3).trim();
+  }
+  return undefined;
+}
+
 /** Index after the blank line that ends the event, or -1. */
 function findEventEnd(bytes: Buffer, start: number): number {
   let index = bytes.indexOf(LINE_FEED, start);
--- a/packages/gateway/src/upstreams/upstream_table.ts
+++ b/packages/gateway/src/upstreams/upstream_table.ts
@@ -94,6 +94,11 @@
     return this.#byService.get(service)?.length ?? 0;
   }
 
+  /** Time that an answer of a service usually takes now, ms. */
+  findTypical(service: string, now: number): number {
+    return findCommonMean(this.#byService.get(service) ?? [], now);
+  }
+
   /** Chooses an upstream for one attempt; undefined if none is usable. */
   choose(options: ChoiceOptions): Upstream | undefined {
     const { service, now } = options;
--- a/packages/mocks/src/opaque/opaque_upstream.ts
+++ b/packages/mocks/src/opaque/opaque_upstream.ts
@@ -116,7 +116,8 @@
       await sleep(this.faults.silentMilliseconds);
     }
     if (target.includes("large")) return await this.#answerLarge(response);
-    if (target.includes("stream")) await this.#stream(body, response);
+    const last = Number(request.headers["last-event-id"] ?? 0);
+    if (target.includes("stream")) await this.#stream(body, response, last);
     else response.writeHead(OK).end(`ran ${callId}`);
   }
 
@@ -132,10 +133,18 @@
     response.end();
   }
 
-  async #stream(prompt: string, response: ServerResponse): Promise<void> {
+  /** Streams the events after the last one that the caller has. */
+  async #stream(
+    prompt: string,
+    response: ServerResponse,
+    last: number,
+  ): Promise<void> {
     response.writeHead(OK, { "content-type": "text/event-stream" });
-    for (let event = 1; event <= this.events; event++) {
-      if (event > this.faults.cutsAfter) return void response.destroy();
+    for (let event = last + 1; event <= this.events; event++) {
+      if (event > this.faults.cutsAfter) {
+        response.write(`id: ${event}\ndata: cut`);
+        return void response.destroy();
+      }
       const data = describeEvent(prompt, event);
       response.write(`id: ${event}\ndata: ${data}\n\n`);
       await sleep(this.faults.pauseMilliseconds);
