A turn without history is settled, not stored

Cause: every turn went to the replicated log with its whole prompt and answer, also on routes whose turns bring their whole prompt, where nobody asks for it again; in a burst the leader was behind, and the end of each answer waited for it. Ruled out: the engines, which were even (busiest against the mean 1.09).

Change: on a route that keeps no history only the tokens are settled, and the end of the answer waits for no store. Until a turn is settled its reserve stands, so a budget cannot be passed.

--- a/packages/gateway/src/calls/run_turn.ts
+++ b/packages/gateway/src/calls/run_turn.ts
@@ -53,9 +53,21 @@
     const { head, body } = end.answer;
     return call.answer(head.status, dropHopHeaders(head.headers), body);
   }
+  if (!call.parts.route.keepsHistory) {
+    // Nothing of it is asked for again, so only its tokens go to the stores,
+    // and its caller need not wait for them: until then the reserve stands.
+    settleTurn(call, parts, relay.count);
+    return call.endAnswer();
+  }
   await endTurn(call, parts, { relay, upstream: end.upstream });
 }
 
+/** Turn that this one goes on from; empty where no history is kept. */
+function findPrevious(call: OpenCall): string {
+  const { facts, route } = call.parts;
+  return route.keepsHistory ? facts.previousTurnId : "";
+}
+
 /** Reserves the turn's tokens and gets its history. */
 async function beginTurn(
   call: OpenCall,
@@ -63,18 +75,19 @@
 ): Promise<Outcome<readonly KeptTurn[]>> {
   const { facts } = call.parts;
   const { cache } = parts;
+  const previousId = findPrevious(call);
   const begun = await askToBegin(call, parts, {
-    missingFrom: cache.findMissing(facts.previousTurnId),
+    missingFrom: cache.findMissing(previousId),
     knownTurns: cache.listWhole(facts.programId),
   });
   if (begun.err) return begun;
   for (const turn of begun.val) cache.put(turn, facts.programId);
-  const chain = cache.listChain(facts.previousTurnId);
+  const chain = cache.listChain(previousId);
   if (chain !== undefined) return Ok(chain);
   // What was known may have been dropped meanwhile; a history too large for
   // the cache is used as it was fetched.
   const all = await askToBegin(call, parts, {
-    missingFrom: facts.previousTurnId,
+    missingFrom: previousId,
     knownTurns: [],
   });
   return all.err ? all : Ok(all.val.toReversed());
@@ -92,7 +105,7 @@
   const begun = await client.call("turns.begin", {
     turnId: facts.callId,
     programId: facts.programId,
-    previousId: facts.previousTurnId,
+    previousId: findPrevious(call),
     tokenBudget: facts.tokenBudget,
     mostTokens: facts.mostTokens,
     ...held,
@@ -199,7 +212,7 @@
   return {
     turnId: facts.callId,
     programId: facts.programId,
-    previousId: facts.previousTurnId,
+    previousId: findPrevious(call),
     tokens: events * each,
     retentionMilliseconds: route.retentionMilliseconds,
   };
