--- a/packages/gateway/src/calls/call_parts.ts
+++ b/packages/gateway/src/calls/call_parts.ts
@@ -2,6 +2,7 @@
 
 import type { CodedError, Logger, Metrics, Settings } from "@mallowlift/core";
 import type { CallerDialect } from "../dialect.ts";
+import type { PromptMemory } from "../upstreams/prompt_memory.ts";
 import type { UpstreamTable } from "../upstreams/upstream_table.ts";
 
 /** Shared by all calls of a gateway. */
@@ -9,6 +10,8 @@
   readonly settings: Settings["gateway"];
   readonly dialect: CallerDialect;
   readonly upstreams: UpstreamTable;
+  /** Which upstream has read which prompt. */
+  readonly prompts: PromptMemory;
   readonly logger: Logger;
   readonly metrics: Metrics;
   /** Gateways that share the upstreams now. */
--- a/packages/gateway/src/calls/open_call_test.ts
+++ b/packages/gateway/src/calls/open_call_test.ts
@@ -17,6 +17,7 @@
       tokenBudget: -1,
       mostTokens: 0,
       objectKey: "",
+      promptParts: [],
     },
     body: Buffer.alloc(0),
     route: { timeoutMilliseconds: 60_000 } as Route,
--- a/packages/gateway/src/calls/send_call.ts
+++ b/packages/gateway/src/calls/send_call.ts
@@ -189,7 +189,8 @@
   return parts.upstreams.choose({
     service,
     tried: details.tried,
-    preferredId: details.options.preferredId,
+    preferredId: details.options.preferredId ||
+      parts.prompts.find(facts.promptParts),
     objectKey: route.prefersSameUpstream ? facts.objectKey : "",
     isRepeatable: isRepeatable(route),
     gateways: parts.countGateways(),
@@ -212,6 +213,7 @@
   const { head, facts, route } = call.parts;
   const left = call.findLeft(now);
   call.story.sends++;
+  parts.prompts.note(facts.promptParts, upstream.instance.id);
   return await runAttempt({
     upstream,
     callId: facts.callId,
--- a/packages/gateway/src/dialect.ts
+++ b/packages/gateway/src/dialect.ts
@@ -10,6 +10,8 @@
   RoutingDocument,
 } from "@mallowlift/core";
 
+import type { PromptPart } from "./upstreams/prompt_memory.ts";
+
 /** Header names and values by turns, as they stand on the wire. */
 export type RawHeaders = readonly string[];
 
@@ -37,6 +39,8 @@
   readonly mostTokens: number;
   /** Same for all requests on one object; empty if none. */
   readonly objectKey: string;
+  /** Parts of the prompt in order; empty if it does not say. */
+  readonly promptParts: readonly PromptPart[];
 }
 
 /** What the gateway tells an upstream besides the request. */
--- a/packages/gateway/src/gateway_role.ts
+++ b/packages/gateway/src/gateway_role.ts
@@ -25,6 +25,7 @@
 } from "./operators/operator_server.ts";
 import { SiteClient } from "./site/site_client.ts";
 import { SiteFollower } from "./site/site_follower.ts";
+import { PromptMemory } from "./upstreams/prompt_memory.ts";
 import { UpstreamTable } from "./upstreams/upstream_table.ts";
 
 /** Time between two looks at resting connections, ms. */
@@ -83,6 +84,7 @@
       settings: gateway,
       dialect: options.callerDialect,
       upstreams: this.#upstreams,
+      prompts: new PromptMemory(),
       logger: logger.forPart("calls"),
       metrics,
       countGateways: () => this.#countGateways(performance.now()),
--- a/packages/gateway/src/native_dialect.ts
+++ b/packages/gateway/src/native_dialect.ts
@@ -23,6 +23,7 @@
   RawHeaders,
 } from "./dialect.ts";
 import { dropHopHeaders, findHeader } from "./http/headers.ts";
+import { parsePromptParts } from "./http/prompt_parts.ts";
 
 /** Headers of the native dialect. */
 export const NATIVE_HEADERS = {
@@ -33,6 +34,8 @@
   BUDGET: "x-token-budget",
   MOST: "x-most-tokens",
   OBJECT: "x-object",
+  /** Parts as id:tokens, in order, with commas between. */
+  PROMPT: "x-prompt-parts",
   INSTANCE: "x-instance",
   PRIORITY: "x-priority",
   NOT_RUN: "x-not-run",
@@ -66,6 +69,7 @@
       tokenBudget: budget === "" ? -1 : Number(budget),
       mostTokens: Number(read(NATIVE_HEADERS.MOST)),
       objectKey: read(NATIVE_HEADERS.OBJECT),
+      promptParts: parsePromptParts(read(NATIVE_HEADERS.PROMPT)),
     });
   }
 
