Engines are told which programs have little time left

Cause: in a burst requests queue at the engines in the order they came, so that all programs become late together.

Change: ProgramUrgency, a module without network, ranks a request among those of its route by the time that its program has left against the running median; a program that is late is last. The rank goes to the engine below the route's priority.

--- a/packages/gateway/src/calls/call_parts.ts
+++ b/packages/gateway/src/calls/call_parts.ts
@@ -4,6 +4,7 @@
 import type { CallerDialect } from "../dialect.ts";
 import type { PromptMemory } from "../upstreams/prompt_memory.ts";
 import type { UpstreamTable } from "../upstreams/upstream_table.ts";
+import type { ProgramUrgency } from "./program_urgency.ts";
 
 /** Shared by all calls of a gateway. */
 export interface CallParts {
@@ -12,6 +13,7 @@
   readonly upstreams: UpstreamTable;
   /** Which upstream has read which prompt. */
   readonly prompts: PromptMemory;
+  readonly urgency: ProgramUrgency;
   readonly logger: Logger;
   readonly metrics: Metrics;
   /** Gateways that share the upstreams now. */
--- a/packages/gateway/src/calls/open_call_test.ts
+++ b/packages/gateway/src/calls/open_call_test.ts
@@ -17,6 +17,7 @@
       tokenBudget: -1,
       mostTokens: 0,
       objectKey: "",
+      finishMilliseconds: Infinity,
       promptParts: [],
     },
     body: Buffer.alloc(0),
--- a/packages/gateway/src/calls/send_call.ts
+++ b/packages/gateway/src/calls/send_call.ts
@@ -237,6 +237,7 @@
           remainingMilliseconds: Math.max(1, Math.floor(left)),
           instanceId: upstream.instance.id,
           priority: route.priority,
+          rank: parts.urgency.rank(route.name, facts.finishMilliseconds),
         }),
         options.events?.lastId ?? "",
       ),
--- a/packages/gateway/src/dialect.ts
+++ b/packages/gateway/src/dialect.ts
@@ -10,6 +10,7 @@
   RoutingDocument,
 } from "@mallowlift/core";
 
+import type { Rank } from "./calls/program_urgency.ts";
 import type { PromptPart } from "./upstreams/prompt_memory.ts";
 
 /** Header names and values by turns, as they stand on the wire. */
@@ -39,6 +40,8 @@
   readonly mostTokens: number;
   /** Same for all requests on one object; empty if none. */
   readonly objectKey: string;
+  /** Time until the whole program should be over, ms; Infinity if not said. */
+  readonly finishMilliseconds: number;
   /** Parts of the prompt in order; empty if it does not say. */
   readonly promptParts: readonly PromptPart[];
 }
@@ -48,8 +51,10 @@
   readonly remainingMilliseconds: number;
   /** The one instance that may run the request. */
   readonly instanceId: string;
-  /** 0 is the most urgent. */
+  /** Of the route; 0 is the most urgent. */
   readonly priority: number;
+  /** Among the requests of the route. */
+  readonly rank: Rank;
 }
 
 /** The head of an upstream's answer. */
--- a/packages/gateway/src/gateway_role.ts
+++ b/packages/gateway/src/gateway_role.ts
@@ -15,6 +15,7 @@
 import type { PeerLinks } from "@mallowlift/transport";
 import type { OpenCall } from "./calls/open_call.ts";
 import { runPlainCall } from "./calls/run_plain_call.ts";
+import { ProgramUrgency } from "./calls/program_urgency.ts";
 import { runTurn, type TurnParts } from "./calls/run_turn.ts";
 import { TurnCache } from "./calls/turn_cache.ts";
 import type { CallerDialect, OperatorDialect } from "./dialect.ts";
@@ -85,6 +86,7 @@
       dialect: options.callerDialect,
       upstreams: this.#upstreams,
       prompts: new PromptMemory(),
+      urgency: new ProgramUrgency(),
       logger: logger.forPart("calls"),
       metrics,
       countGateways: () => this.#countGateways(performance.now()),
--- a/packages/gateway/src/mod.ts
+++ b/packages/gateway/src/mod.ts
@@ -1,6 +1,7 @@
 /** The gateway role: routes requests of callers to upstreams. */
 
 export * from "./calls/open_call.ts";
+export * from "./calls/program_urgency.ts";
 export * from "./calls/turn_cache.ts";
 export * from "./dialect.ts";
 export * from "./gateway_role.ts";
--- a/packages/gateway/src/native_dialect.ts
+++ b/packages/gateway/src/native_dialect.ts
@@ -38,12 +38,16 @@
   PROMPT: "x-prompt-parts",
   INSTANCE: "x-instance",
   PRIORITY: "x-priority",
+  RANK: "x-rank",
+  /** Time until the program should be over, ms. */
+  FINISH: "x-finish-ms",
   NOT_RUN: "x-not-run",
 } as const;
 
 const SYSTEM_HEADERS: ReadonlySet<string> = new Set([
   NATIVE_HEADERS.INSTANCE,
   NATIVE_HEADERS.PRIORITY,
+  NATIVE_HEADERS.RANK,
   NATIVE_HEADERS.PATIENCE,
 ]);
 const MISDIRECTED = 421;
@@ -61,6 +65,7 @@
     }
     const patience = read(NATIVE_HEADERS.PATIENCE);
     const budget = read(NATIVE_HEADERS.BUDGET);
+    const finish = read(NATIVE_HEADERS.FINISH);
     return Ok({
       callId,
       patienceMilliseconds: patience === "" ? Infinity : Number(patience),
@@ -69,6 +74,7 @@
       tokenBudget: budget === "" ? -1 : Number(budget),
       mostTokens: Number(read(NATIVE_HEADERS.MOST)),
       objectKey: read(NATIVE_HEADERS.OBJECT),
+      finishMilliseconds: finish === "" ? Infinity : Number(finish),
       promptParts: parsePromptParts(read(NATIVE_HEADERS.PROMPT)),
     });
   }
@@ -83,6 +89,8 @@
       facts.instanceId,
       NATIVE_HEADERS.PRIORITY,
       String(facts.priority),
+      NATIVE_HEADERS.RANK,
+      String(facts.rank),
     ];
   }
 
