The leader tells which upstream ran a program last

Cause: a line of turns that arrives through another gateway than before is read anew where its history is not kept.

Change: the leader remembers, without replication, who ran each program's latest turn, and says so when the next one begins.

--- a/packages/core/src/types/site.ts
+++ b/packages/core/src/types/site.ts
@@ -118,6 +118,8 @@
 export interface TurnBegun {
   /** The turns from `missingFrom` back to one that is known, newest first. */
   readonly turns: readonly KeptTurn[];
+  /** Upstream that ran the program's latest turn; empty if nobody remembers. */
+  readonly latestUpstream?: string;
 }
 
 /** Ends a turn: settles its reserve and keeps it if it was whole. */
--- a/packages/gateway/src/calls/run_turn.ts
+++ b/packages/gateway/src/calls/run_turn.ts
@@ -9,6 +9,7 @@
   type KeptTurn,
   type Outcome,
   RESULT_CODES,
+  type TurnBegun,
 } from "@mallowlift/core";
 import { Ok } from "ts-results";
 import { dropHopHeaders } from "../http/headers.ts";
@@ -33,30 +34,39 @@
   readonly cache: TurnCache;
 }
 
+/** What a turn goes on from. */
+interface BegunTurn {
+  /** Earlier turns of its line, oldest first. */
+  readonly chain: readonly KeptTurn[];
+  /** Where the program ran last; empty if that is not known. */
+  readonly latestUpstream: string;
+}
+
 /** Runs a turn and answers its caller. */
 export async function runTurn(call: OpenCall, parts: TurnParts): Promise<void> {
   const begun = await beginTurn(call, parts);
   if (begun.err) return refuseTurn(call, parts, begun.val);
-  const chain = begun.val;
+  const { chain, latestUpstream } = begun.val;
   const relay = new EventRelay(call);
   const end = await sendCall(call, parts, {
     body: joinPrompt(chain, call.parts.body),
     preferredId: chain.at(-1)?.upstream ?? "",
+    fallbackId: latestUpstream,
     events: relay,
   });
   if ("failure" in end) {
-    settleTurn(call, parts, relay.count);
+    settleTurn(call, parts, { events: relay.count });
     return failCall(call, parts, end.failure);
   }
   if (!end.answer.streamed) {
-    settleTurn(call, parts, 0);
+    settleTurn(call, parts, { events: 0 });
     const { head, body } = end.answer;
     return call.answer(head.status, dropHopHeaders(head.headers), body);
   }
   if (!call.parts.route.keepsHistory) {
     // Nothing of it is asked for again, so only its tokens go to the stores,
     // and its caller need not wait for them: until then the reserve stands.
-    settleTurn(call, parts, relay.count);
+    settleTurn(call, parts, { events: relay.count, upstream: end.upstream });
     return call.endAnswer();
   }
   await endTurn(call, parts, { relay, upstream: end.upstream });
@@ -72,7 +82,7 @@
 async function beginTurn(
   call: OpenCall,
   parts: TurnParts,
-): Promise<Outcome<readonly KeptTurn[]>> {
+): Promise<Outcome<BegunTurn>> {
   const { facts } = call.parts;
   const { cache } = parts;
   const previousId = findPrevious(call);
@@ -81,16 +91,18 @@
     knownTurns: cache.listWhole(facts.programId),
   });
   if (begun.err) return begun;
-  for (const turn of begun.val) cache.put(turn, facts.programId);
+  const { turns, latestUpstream = "" } = begun.val;
+  for (const turn of turns) cache.put(turn, facts.programId);
   const chain = cache.listChain(previousId);
-  if (chain !== undefined) return Ok(chain);
+  if (chain !== undefined) return Ok({ chain, latestUpstream });
   // What was known may have been dropped meanwhile; a history too large for
   // the cache is used as it was fetched.
   const all = await askToBegin(call, parts, {
     missingFrom: previousId,
     knownTurns: [],
   });
-  return all.err ? all : Ok(all.val.toReversed());
+  if (all.err) return all;
+  return Ok({ chain: all.val.turns.toReversed(), latestUpstream });
 }
 
 /** Asks the stores to begin a turn; asking again changes nothing. */
@@ -98,11 +110,11 @@
   call: OpenCall,
   parts: TurnParts,
   held: Pick<BeginTurn, "missingFrom" | "knownTurns">,
-): Promise<Outcome<readonly KeptTurn[]>> {
+): Promise<Outcome<TurnBegun>> {
   const { facts } = call.parts;
   const { client, settings } = parts;
   const left = call.findLeft(performance.now());
-  const begun = await client.call("turns.begin", {
+  return await client.call("turns.begin", {
     turnId: facts.callId,
     programId: facts.programId,
     previousId: findPrevious(call),
@@ -110,7 +122,6 @@
     mostTokens: facts.mostTokens,
     ...held,
   }, Math.min(settings.leaderWaitMilliseconds, LEADER_WAIT_PART * left));
-  return begun.err ? begun : Ok(begun.val.turns);
 }
 
 function refuseTurn(
@@ -123,7 +134,7 @@
     code === RESULT_CODES.BUDGET_EXCEEDED;
   if (isFinal) return failCall(call, parts, { error, notRun: true });
   // The reserve may have been made although nobody said so.
-  settleTurn(call, parts, 0);
+  settleTurn(call, parts, { events: 0 });
   parts.logger.info("Turn refused", {
     call: call.parts.facts.callId,
     program: call.parts.facts.programId,
@@ -180,13 +191,17 @@
 }
 
 /** Settles a turn that is not kept, without anyone waiting for it. */
-function settleTurn(call: OpenCall, parts: TurnParts, events: number): void {
+function settleTurn(
+  call: OpenCall,
+  parts: TurnParts,
+  details: { readonly events: number; readonly upstream?: string },
+): void {
   const turn: EndTurn = {
-    ...describeEnd(call, events),
+    ...describeEnd(call, details.events),
     whole: false,
     input: Buffer.alloc(0),
     output: Buffer.alloc(0),
-    upstream: "",
+    upstream: details.upstream ?? "",
   };
   void parts.client.call("turns.end", turn, SETTLE_MILLISECONDS).then(
     (settled) => {
--- a/packages/gateway/src/calls/send_call.ts
+++ b/packages/gateway/src/calls/send_call.ts
@@ -43,7 +43,10 @@
 /** What is sent, and where it would be served best. */
 export interface SendOptions {
   readonly body: Buffer;
+  /** Upstream that ran the history; empty if there is none. */
   readonly preferredId: string;
+  /** Upstream to prefer where this gateway knows no better; empty if none. */
+  readonly fallbackId?: string;
   readonly events?: EventSink;
 }
 
@@ -186,11 +189,12 @@
   },
 ): Upstream | undefined {
   const { facts, route, service } = call.parts;
+  const { preferredId, fallbackId = "" } = details.options;
   return parts.upstreams.choose({
     service,
     tried: details.tried,
-    preferredId: details.options.preferredId ||
-      parts.prompts.find(facts.promptParts),
+    preferredId: preferredId || parts.prompts.find(facts.promptParts) ||
+      fallbackId,
     objectKey: route.prefersSameUpstream ? facts.objectKey : "",
     isRepeatable: isRepeatable(route),
     gateways: parts.countGateways(),
--- a/packages/store/src/site_owner.ts
+++ b/packages/store/src/site_owner.ts
@@ -28,6 +28,7 @@
 import type { SiteCommand, SiteResult, SiteState } from "@mallowlift/sessions";
 import { Ok } from "ts-results";
 import type { InstanceReader } from "./instance_reader.ts";
+import { LatestUpstreams } from "./latest_upstreams.ts";
 
 /** What the owner works with. */
 export interface SiteOwnerOptions {
@@ -46,6 +47,7 @@
 /** The leader's side of the site. */
 export class SiteOwner implements LeadershipListener {
   readonly #options: SiteOwnerOptions;
+  readonly #latest = new LatestUpstreams();
   #isLeading = false;
   /** Time of the site when this leadership began, and of the local clock. */
   #base = { site: 0, local: 0 };
@@ -125,11 +127,13 @@
       turns: missingFrom === ""
         ? []
         : turns.listBack(missingFrom, new Set(knownTurns)),
+      latestUpstream: this.#latest.find(request.programId),
     });
   }
 
   /** Ends a turn. */
   async end(request: EndTurn): Promise<Outcome<Nothing>> {
+    this.#latest.note(request.programId, request.upstream);
     const at = this.#findTime();
     const result = await this.#propose({ kind: "end", at, ...request });
     return result.err ? result : Ok({});
