Spares get their entries gathered

Cause, by reading: at the larger size the leader sends each entry to eight members, of which four have no vote and no commit waits for them.

Change: findSpareWait, a module without network: a member without a vote gets entries after 32 of them or 100 ms.

--- a/packages/consensus/src/group/leadership.ts
+++ b/packages/consensus/src/group/leadership.ts
@@ -20,6 +20,7 @@
 import { isSameReplica, type Membership } from "./membership.ts";
 import { PeerProgress } from "./peer_progress.ts";
 import { sendSnapshot } from "./send_snapshot.ts";
+import { findSpareWait } from "./spare_pace.ts";
 
 const RETRY_MILLISECONDS = 20;
 /**
@@ -241,15 +242,26 @@
     return log.lastIndex - getCommitIndex() <= YIELD_ENTRIES;
   }
 
+  /** Time until a member should get entries, ms; Infinity if there are none. */
+  #findEntryWait(peer: PeerProgress, now: number): number {
+    if (!this.#isFed(peer)) return Infinity;
+    const behind = this.#parts.log.lastIndex - peer.nextIndex + 1;
+    if (peer.member.role === MEMBER_ROLES.VOTER) {
+      return behind > 0 ? 0 : Infinity;
+    }
+    return findSpareWait({ behind, sentAt: peer.sentAt, now });
+  }
+
   async #waitForWork(peer: PeerProgress): Promise<void> {
     const heartbeat = this.#parts.options.timing.heartbeatMilliseconds;
     while (!this.#over && !peer.removed) {
-      const isBehind = peer.nextIndex <= this.#parts.log.lastIndex;
-      if (isBehind && this.#isFed(peer)) return;
+      const now = performance.now();
+      const wait = this.#findEntryWait(peer, now);
+      if (wait <= 0) return;
       if (peer.sentAt <= this.#confirmAt) return;
-      const left = peer.sentAt + heartbeat - performance.now();
+      const left = peer.sentAt + heartbeat - now;
       if (left <= 0) return;
-      await this.#work.wait(left);
+      await this.#work.wait(Math.min(left, wait));
     }
   }
 
