An own request more does not drive a turn from its history

Cause: the choice counts an own request once for each gateway. With 22 gateways and engines of 8 slots one request made an engine look four times as bad, so that turns left the engine of their history for nothing.

Change: the requests of other gateways count as spread evenly.

--- a/packages/gateway/src/upstreams/upstream_table.ts
+++ b/packages/gateway/src/upstreams/upstream_table.ts
@@ -105,9 +105,10 @@
     const usable = listUsable(this.#byService.get(service) ?? [], options);
     if (usable.length === 0) return undefined;
     const common = findCommonMean(usable, now);
+    const others = findOthers(usable, options.gateways);
     const score = (upstream: Upstream) =>
       upstream.health.findExpected(now, common) *
-      (1 + findLoad(upstream, options)) *
+      (1 + findLoad(upstream, others)) *
       (upstream.instance.failureDomain === this.#failureDomain
         ? 1
         : OTHER_DOMAIN) *
@@ -162,10 +163,22 @@
   return !options.isRepeatable && upstream.health.isOnProbation(options.now);
 }
 
-/** Own requests stand for those of all gateways, which choose alike. */
-function findLoad(upstream: Upstream, options: ChoiceOptions): number {
+/**
+ * Requests that the other gateways have at each upstream, about. Their sum is as
+ * large as this gateway's own for each of them; where they are is not known, so
+ * they count as spread evenly. An own request more or less says little of that:
+ * counted once for each gateway, a single one drove turns from their history.
+ */
+function findOthers(upstreams: readonly Upstream[], gateways: number): number {
+  let own = 0;
+  for (const upstream of upstreams) own += upstream.running;
+  return (gateways - 1) * own / upstreams.length;
+}
+
+/** Part of an upstream's slots that is taken, about. */
+function findLoad(upstream: Upstream, others: number): number {
   const slots = Math.max(1, upstream.instance.slots);
-  return upstream.running * options.gateways / slots;
+  return (upstream.running + others) / slots;
 }
 
 function findCommonMean(upstreams: readonly Upstream[], now: number): number {
--- a/packages/gateway/src/upstreams/upstream_table_test.ts
+++ b/packages/gateway/src/upstreams/upstream_table_test.ts
@@ -88,3 +88,18 @@
   t.equal(table.choose(createOptions())?.instance.id, "far");
   t.end();
 });
+
+test("one own request more does not drive a turn from its history", (t) => {
+  const table = new UpstreamTable(() => 0, "d");
+  table.update(["a", "b", "c"].map((id) => createInstance(id)));
+  const [first] = [...table.list()];
+  if (first === undefined) throw new Error("No upstream");
+  const options = createOptions({ preferredId: "a", gateways: 22 });
+  first.running = 1;
+  t.equal(table.choose(options), first);
+  // A request that waits far longer than usual does.
+  for (const upstream of table.list()) upstream.health.noteTime(50, 0);
+  first.health.noteSent({}, 0);
+  t.not(table.choose({ ...options, now: 400 }), first);
+  t.end();
+});
