--- a/packages/gateway/src/calls/event_relay.ts
+++ b/packages/gateway/src/calls/event_relay.ts
@@ -37,6 +37,11 @@
     return this.#lastId;
   }
 
+  /** True if nothing was passed on, or the last event had an id. */
+  get canGoOn(): boolean {
+    return this.#count === 0 || this.#lastId !== "";
+  }
+
   /** Data of all events, each followed by a line feed. */
   joinData(): Buffer {
     return Buffer.concat(this.#data);
--- a/packages/gateway/src/calls/run_attempt.ts
+++ b/packages/gateway/src/calls/run_attempt.ts
@@ -57,6 +57,8 @@
   isAtEventEnd(): boolean;
   /** Id of the last event that was passed on; empty if there is none. */
   readonly lastId: string;
+  /** True if what comes after the events that were passed on can be asked for. */
+  readonly canGoOn: boolean;
 }
 
 /** Takes a large answer as it comes. */
--- a/packages/gateway/src/calls/send_call.ts
+++ b/packages/gateway/src/calls/send_call.ts
@@ -1,24 +1,20 @@
 /** Sends a call to one upstream after the other until one answers it. */
 
-import type { Buffer } from "node:buffer";
 import { performance } from "node:perf_hooks";
 import {
   type CodedError,
   countRetry,
   RESULT_CODES,
   type ResultCode,
-  type Route,
-  ROUTE_KINDS,
   sleep,
 } from "@mallowlift/core";
-import type { RawHeaders } from "../dialect.ts";
-import { dropHopHeaders } from "../http/headers.ts";
-import type { ConnectionLimits, Upstream } from "../upstreams/upstream.ts";
-import { BodyRelay } from "./body_relay.ts";
+import { isRepeatable, isResumable } from "../routing/repeatable.ts";
+import type { Upstream } from "../upstreams/upstream.ts";
 import type { CallFailure, CallParts } from "./call_parts.ts";
 import { isServerFailure } from "./judge_answer.ts";
 import type { OpenCall } from "./open_call.ts";
-import { type AttemptEnd, type EventSink, runAttempt } from "./run_attempt.ts";
+import type { AttemptEnd } from "./run_attempt.ts";
+import { runAttemptAt, type SendOptions } from "./run_attempt_at.ts";
 
 /** Pause before upstreams that are all full are asked again, ms. */
 const FULL_PAUSE_MILLISECONDS = 25;
@@ -29,27 +25,11 @@
 const OFFER_PART = 0.5;
 /** Attempts that did not run and are made again, besides those that may have run. */
 const MAX_REFUSED_SENDS = 4;
-/** Connections that are left to health checks and to gateways not yet known. */
-const SPARE_GATEWAYS = 1;
-
-/** Times that an answer usually takes after which silence means a failure. */
-const SILENT_TIMES = 4;
-const LAST_EVENT: ReadonlySet<string> = new Set(["last-event-id"]);
 const UPSTREAM_FAILED: CodedError = {
   code: RESULT_CODES.OUTCOME_UNKNOWN,
   message: "The upstream answered that it failed",
 };
 
-/** What is sent, and where it would be served best. */
-export interface SendOptions {
-  readonly body: Buffer;
-  /** Upstream that ran the history; empty if there is none. */
-  readonly preferredId: string;
-  /** Upstream to prefer where this gateway knows no better; empty if none. */
-  readonly fallbackId?: string;
-  readonly events?: EventSink;
-}
-
 /** An answer, or why there is none. */
 export type SendEnd =
   | {
@@ -86,7 +66,12 @@
       continue;
     }
     const isLast = !mayRepeat || runs + 1 >= route.maxAttempts;
-    const end = await runAt(upstream, call, { parts, options, now, isLast });
+    const end = await runAttemptAt(upstream, call, {
+      parts,
+      options,
+      now,
+      isLast,
+    });
     call.story.upstream = upstream.instance.id;
     if (end.kind === "whole" && isAnswer(end, call)) {
       const sent = { answer: end, upstream: upstream.instance.id };
@@ -128,19 +113,9 @@
   return isServerFailure(answer.head.status) && !call.hasAnswered;
 }
 
-/** True if a call may run at another upstream after one that may have run it. */
-function isRepeatable(route: Route): boolean {
-  return route.kind === ROUTE_KINDS.IDEMPOTENT || isResumable(route);
-}
-
-function isResumable(route: Route): boolean {
-  return route.kind === ROUTE_KINDS.STREAM && route.isResumable === true;
-}
-
 /** True if a stream that has begun can go on after its last event. */
 function mayResume(call: OpenCall, options: SendOptions): boolean {
-  return isResumable(call.parts.route) && options.events !== undefined &&
-    options.events.lastId !== "";
+  return isResumable(call.parts.route) && options.events?.canGoOn === true;
 }
 
 /** One line for each attempt that brought no answer, with what it went by. */
@@ -201,77 +176,3 @@
     now: details.now,
   });
 }
-
-async function runAt(
-  upstream: Upstream,
-  call: OpenCall,
-  details: {
-    readonly parts: CallParts;
-    readonly options: SendOptions;
-    readonly now: number;
-    /** True if no other attempt may follow one that may have run. */
-    readonly isLast: boolean;
-  },
-): Promise<AttemptEnd> {
-  const { parts, options, now } = details;
-  const { head, facts, route } = call.parts;
-  const left = call.findLeft(now);
-  call.story.sends++;
-  parts.prompts.note(facts.promptParts, upstream.instance.id);
-  return await runAttempt({
-    upstream,
-    callId: facts.callId,
-    dialect: parts.dialect,
-    limits: findLimits(call, parts),
-    signal: call.signal,
-    // Silence alone ends an attempt only where another one may follow.
-    silentMilliseconds: details.isLast
-      ? left
-      : Math.min(left, findSilence(call, parts, now)),
-    pauseMilliseconds: details.isLast || !isResumable(route)
-      ? Infinity
-      : parts.settings.silentMilliseconds,
-    events: options.events,
-    body: new BodyRelay(call),
-    request: {
-      method: head.method,
-      target: head.target,
-      headers: addLastEvent(
-        parts.dialect.writeAttempt(head.headers, {
-          remainingMilliseconds: Math.max(1, Math.floor(left)),
-          instanceId: upstream.instance.id,
-          priority: route.priority,
-          rank: parts.urgency.rank(route.name, facts.finishMilliseconds),
-        }),
-        options.events?.lastId ?? "",
-      ),
-      body: options.body,
-    },
-  });
-}
-
-/**
- * Silence after which a call goes elsewhere, ms. It grows with what the service
- * takes now, so that a queue that all upstreams have does not double their work.
- */
-function findSilence(call: OpenCall, parts: CallParts, now: number): number {
-  const typical = parts.upstreams.findTypical(call.parts.service, now);
-  return Math.max(parts.settings.silentMilliseconds, SILENT_TIMES * typical);
-}
-
-/** Asks an upstream to go on after an event that the caller has. */
-function addLastEvent(headers: RawHeaders, lastId: string): RawHeaders {
-  if (lastId === "") return headers;
-  return [...dropHopHeaders(headers, LAST_EVENT), "Last-Event-Id", lastId];
-}
-
-function findLimits(call: OpenCall, parts: CallParts): ConnectionLimits {
-  const { table, service } = call.parts;
-  const all = table.findService(service)?.maxConnections ?? 1;
-  const share = Math.floor(all / (parts.countGateways() + SPARE_GATEWAYS));
-  return {
-    maxConnections: Math.max(1, share),
-    connectMilliseconds: parts.settings.connectMilliseconds,
-    idleMilliseconds: parts.settings.idleMilliseconds,
-  };
-}
