An upstream that was fast lately draws no more than the usual one

Cause: few answers are measured of each upstream by each gateway, so a low mean mostly says that its requests were short, and it drew the next ones.

Change: a mean below that of the others counts as theirs.

--- a/packages/gateway/src/upstreams/upstream_table.ts
+++ b/packages/gateway/src/upstreams/upstream_table.ts
@@ -106,8 +106,10 @@
     if (usable.length === 0) return undefined;
     const common = findCommonMean(usable, now);
     const others = findOthers(usable, options.gateways);
+    // Few answers are measured of each upstream: one that was fast lately is
+    // mostly one that got short requests, and should not draw more than others.
     const score = (upstream: Upstream) =>
-      upstream.health.findExpected(now, common) *
+      Math.max(common, upstream.health.findExpected(now, common)) *
       (1 + findLoad(upstream, others)) *
       (upstream.instance.failureDomain === this.#failureDomain
         ? 1
