Calls without history are spread strictly, those with one keep to it

Cause: counting the requests of other gateways as spread evenly made each gateway spread its own less evenly, and so the sum.

Change: the strict count places calls without history; the likely load only decides whether a call leaves its history.

--- a/packages/gateway/src/upstreams/upstream_table.ts
+++ b/packages/gateway/src/upstreams/upstream_table.ts
@@ -105,26 +105,48 @@
     const usable = listUsable(this.#byService.get(service) ?? [], options);
     if (usable.length === 0) return undefined;
     const common = findCommonMean(usable, now);
-    const others = findOthers(usable, options.gateways);
+    const best = this.#findLeast(
+      usable,
+      (upstream) =>
+        this.#findCost(upstream, {
+          load: findEvenLoad(upstream, options),
+          common,
+          options,
+        }),
+    );
+    const loyal = findLoyal(usable, options);
+    if (loyal === undefined || loyal.health.isOnProbation(now)) return best;
+    const others = findOthers(usable, options);
+    const [loyalCost, bestCost] = [loyal, best].map((upstream) =>
+      this.#findCost(upstream, {
+        load: findLikelyLoad(upstream, others),
+        common,
+        options,
+      })
+    ) as [number, number];
+    return loyalCost <= LOYALTY * bestCost ? loyal : best;
+  }
+
+  /** How bad an upstream looks for a call, about the time that it would take. */
+  #findCost(
+    upstream: Upstream,
+    details: {
+      /** Part of the upstream's slots that is taken. */
+      readonly load: number;
+      readonly common: number;
+      readonly options: ChoiceOptions;
+    },
+  ): number {
+    const { load, common, options } = details;
+    const { now } = options;
+    const isNear = upstream.instance.failureDomain === this.#failureDomain;
     // Few answers are measured of each upstream: one that was fast lately is
     // mostly one that got short requests, and should not draw more than others.
-    const score = (upstream: Upstream) =>
-      Math.max(common, upstream.health.findExpected(now, common)) *
-      (1 + findLoad(upstream, others)) *
-      (upstream.instance.failureDomain === this.#failureDomain
-        ? 1
-        : OTHER_DOMAIN) *
+    return Math.max(common, upstream.health.findExpected(now, common)) *
+      (1 + load) *
+      (isNear ? 1 : OTHER_DOMAIN) *
       (upstream.hasResting(now) ? 1 : NEW_CONNECTION) *
       (isAvoided(upstream, options) ? PROBATION : 1);
-    const scores = new Map(
-      usable.map((upstream) => [upstream, score(upstream)]),
-    );
-    const getScore = (upstream: Upstream) => scores.get(upstream) ?? 0;
-    const best = this.#findLeast(usable, getScore);
-    const loyal = findLoyal(usable, options);
-    if (loyal === undefined) return best;
-    if (loyal.health.isOnProbation(now)) return best;
-    return getScore(loyal) <= LOYALTY * getScore(best) ? loyal : best;
   }
 
   #findLeast(
@@ -166,21 +188,39 @@
 }
 
 /**
- * Requests that the other gateways have at each upstream, about. Their sum is as
- * large as this gateway's own for each of them; where they are is not known, so
- * they count as spread evenly. An own request more or less says little of that:
- * counted once for each gateway, a single one drove turns from their history.
+ * Load by which a call is placed that has no history: own requests stand for
+ * those of all gateways, which choose alike. If each gateway spreads its own
+ * evenly, their sum is spread evenly.
+ */
+function findEvenLoad(upstream: Upstream, options: ChoiceOptions): number {
+  return upstream.running * options.gateways / countSlots(upstream);
+}
+
+/**
+ * Requests that the other gateways have at each upstream, about: for each of
+ * them as many in all as this gateway has, and nobody knows where.
  */
-function findOthers(upstreams: readonly Upstream[], gateways: number): number {
+function findOthers(
+  upstreams: readonly Upstream[],
+  options: ChoiceOptions,
+): number {
   let own = 0;
   for (const upstream of upstreams) own += upstream.running;
-  return (gateways - 1) * own / upstreams.length;
+  return (options.gateways - 1) * own / upstreams.length;
+}
+
+/**
+ * Load that an upstream likely has, for what a call with a history would pay
+ * there. An own request more or less says little of it: where many gateways
+ * share small engines, counting it once for each of them drove turns away from
+ * engines that were as free as any other.
+ */
+function findLikelyLoad(upstream: Upstream, others: number): number {
+  return (upstream.running + others) / countSlots(upstream);
 }
 
-/** Part of an upstream's slots that is taken, about. */
-function findLoad(upstream: Upstream, others: number): number {
-  const slots = Math.max(1, upstream.instance.slots);
-  return (upstream.running + others) / slots;
+function countSlots(upstream: Upstream): number {
+  return Math.max(1, upstream.instance.slots);
 }
 
 function findCommonMean(upstreams: readonly Upstream[], now: number): number {
