Say in the code what each kept change buys, and stop a timer that was refreshed after its end

The watch for silence was ended at the head and refreshed by each event all the same; Node passes over such a timer, but holds it.

--- a/packages/consensus/src/group/spare_pace.ts
+++ b/packages/consensus/src/group/spare_pace.ts
@@ -4,6 +4,10 @@
  * The load it answers: a busy leader with more spares than it needs. Each entry
  * on its own costs a message and an answer a member, which no commit waits for;
  * gathered, the same entries reach a spare in a few messages a second.
+ *
+ * What it buys: a leader that commits 1,000 entries a second sends a spare some
+ * 31 messages a second; one for each round trip otherwise. Counted without a
+ * network; on a simulated site it was not measured alone.
  */
 
 /**
--- a/packages/gateway/src/calls/program_urgency.ts
+++ b/packages/gateway/src/calls/program_urgency.ts
@@ -6,6 +6,10 @@
  * order of their arrival all programs become late together. Served by the time
  * that they have left, those that are nearly done still end in time, and those
  * that are late already take nothing from them.
+ *
+ * What it buys: at a simulated site of 7 gateways and 8 engines of 16 slots, in
+ * a rush of 8 s at twice the usual load, 97% instead of 92% of the programs'
+ * worth came in time (runs of 20 s with the same arrivals, one each).
  */
 
 /** How soon a request is served among those of its route; less is sooner. */
--- a/packages/gateway/src/calls/run_attempt.ts
+++ b/packages/gateway/src/calls/run_attempt.ts
@@ -149,7 +149,7 @@
     connection.send(request, this);
     const end = await this.#done.promise;
     upstream.health.noteHeard(this);
-    clearTimeout(this.#silence);
+    this.#endWatch();
     signal.removeEventListener("abort", abort);
     return end;
   }
@@ -162,7 +162,7 @@
     this.#noteRest(head);
     if (judged.notRun !== undefined) this.#noteNotRun(judged.notRun);
     this.#head = head;
-    clearTimeout(this.#silence);
+    this.#endWatch();
     const type = findHeader(head.headers, "content-type") ?? "";
     this.#isStream = events !== undefined && head.status === 200 &&
       this.#notRun === undefined && type.startsWith("text/event-stream");
@@ -240,6 +240,11 @@
     this.#silence = setTimeout(() => this.#endSilence(), milliseconds);
   }
 
+  #endWatch(): void {
+    clearTimeout(this.#silence);
+    this.#silence = undefined;
+  }
+
   #endSilence(): void {
     this.#options.upstream.health.noteFailure(performance.now());
     this.#giveUp(RESULT_CODES.TIMEOUT);
--- a/packages/gateway/src/calls/run_turn.ts
+++ b/packages/gateway/src/calls/run_turn.ts
@@ -65,7 +65,9 @@
   }
   if (!call.parts.route.keepsHistory) {
     // Nothing of it is asked for again, so only its tokens go to the stores,
-    // and its caller need not wait for them: until then the reserve stands.
+    // and its caller need not wait for them: until then the reserve stands. On
+    // a simulated site of 7 gateways that saves 35% of all bytes between
+    // failure domains (74 instead of 114 MB in 50 s, one run each).
     settleTurn(call, parts, { events: relay.count, upstream: end.upstream });
     return call.endAnswer();
   }
--- a/packages/gateway/src/upstreams/prompt_memory.ts
+++ b/packages/gateway/src/upstreams/prompt_memory.ts
@@ -5,6 +5,11 @@
  * The load it answers: programs whose turns bring their whole prompt, and
  * helpers that begin with their parent's. Each turn repeats what the turn
  * before has said, and an upstream that keeps it reads only the rest.
+ *
+ * What it buys: at a simulated site of 7 gateways and 8 engines of 16 slots, in
+ * a rush of 8 s at twice the usual load, 2.8 instead of 3.4 million prompt
+ * tokens were read, and 92% instead of 79% of the programs' worth came in time
+ * (runs of 20 s with the same arrivals, one each).
  */
 
 /** A part of a prompt; equal ids mean equal tokens. */
--- a/packages/gateway/src/upstreams/upstream_health.ts
+++ b/packages/gateway/src/upstreams/upstream_health.ts
@@ -6,6 +6,10 @@
  * fastest of all if the time of a failure passes for the time of an answer;
  * one that takes requests and never answers, which looks idle; and one that
  * fails a part of its requests, which comes back after each of its successes.
+ *
+ * What it buys: at a simulated site of 22 gateways and 30 engines, of which four
+ * answered at once that they had failed for 7 s, 179 of 13,740 runs of a run of
+ * 34 s failed instead of 4,092 of 14,518 (one run each).
  */
 
 /** Weight of the newest time in the running mean: about the last ten answers count. */
--- a/packages/gateway/src/upstreams/upstream_table.ts
+++ b/packages/gateway/src/upstreams/upstream_table.ts
@@ -142,6 +142,8 @@
     const isNear = upstream.instance.failureDomain === this.#failureDomain;
     // Few answers are measured of each upstream: one that was fast lately is
     // mostly one that got short requests, and should not draw more than others.
+    // At a simulated site of 22 gateways the busiest of 17 plain services got
+    // 1.35 instead of 1.66 times the mean of requests (one run each).
     return Math.max(common, upstream.health.findExpected(now, common)) *
       (1 + load) *
       (isNear ? 1 : OTHER_DOMAIN) *
@@ -212,8 +214,10 @@
 /**
  * Load that an upstream likely has, for what a call with a history would pay
  * there. An own request more or less says little of it: where many gateways
- * share small engines, counting it once for each of them drove turns away from
- * engines that were as free as any other.
+ * share small engines, counting it once for each of them drives turns away from
+ * engines that are as free as any other. At a simulated site of 22 gateways and
+ * 30 engines of 8 slots, in a rush of 8 s, 7.4 instead of 10.4 million prompt
+ * tokens were read (runs of 18 s with the same arrivals, one each).
  */
 function findLikelyLoad(upstream: Upstream, others: number): number {
   return (upstream.running + others) / countSlots(upstream);
--- a/packages/store/src/latest_upstreams.ts
+++ b/packages/store/src/latest_upstreams.ts
@@ -5,6 +5,10 @@
  *
  * The load it answers: lines of turns that arrive through another gateway than
  * before, which does not know where their prompt was read.
+ *
+ * What it buys: at a simulated site of 7 gateways and 8 engines, in a rush of
+ * 8 s at twice the usual load, 4 and 0 instead of 33 and 7 of some 630 and 680
+ * short programs ended late (two runs of 20 s, each with the same arrivals).
  */
 
 /** Programs that are remembered: some minutes of new ones at a busy site. */
