--- a/packages/bench/src/gateways/failing_upstreams_test.ts
+++ b/packages/bench/src/gateways/failing_upstreams_test.ts
@@ -1,11 +1,10 @@
 /** Calls beside upstreams that answer that they failed. */
 
 import { sleep } from "@mallowlift/core";
-import { describeEvent, OpaqueUpstream } from "@mallowlift/mocks";
+import { describeEvent, type OpaqueUpstream } from "@mallowlift/mocks";
 import { type Test, test } from "tap";
 import { callGateway, type CallSeen } from "./gateway_caller.ts";
-import { GatewaySite } from "./gateway_site.ts";
-import { TEST_DOCUMENT } from "./test_document.ts";
+import { startTestSite } from "./start_test_site.ts";
 
 const CALLS = 20;
 const LOOK_MILLISECONDS = 50;
@@ -20,20 +19,12 @@
 
 /** Starts one site for all tests of this file. */
 async function start(t: Test): Promise<Running> {
-  const failing = new OpaqueUpstream("u-1");
-  const sound = new OpaqueUpstream("u-2");
-  for (const upstream of [failing, sound]) await upstream.start();
-  const site = await GatewaySite.start({
-    folder: t.testdir(),
-    gateways: 1,
-    stores: 3,
-    upstreams: [failing, sound],
-  }, TEST_DOCUMENT);
-  t.teardown(async () => {
-    await site.stop();
-    for (const upstream of [failing, sound]) upstream.stop();
-  });
-  return { url: site.gateways[0]?.callersUrl ?? "", failing, sound };
+  const { upstreams, url } = await startTestSite(t, { upstreams: 2 });
+  const [failing, sound] = upstreams;
+  if (failing === undefined || sound === undefined) {
+    throw new Error("No upstreams");
+  }
+  return { url, failing, sound };
 }
 
 function describeStream(prompt: string, events: number): string {
--- a/packages/bench/src/gateways/gateway_control_test.ts
+++ b/packages/bench/src/gateways/gateway_control_test.ts
@@ -3,10 +3,9 @@
 import { join } from "node:path";
 import process from "node:process";
 import { sleep } from "@mallowlift/core";
-import { OpaqueUpstream } from "@mallowlift/mocks";
 import { test } from "tap";
 import { callGateway } from "./gateway_caller.ts";
-import { GatewaySite } from "./gateway_site.ts";
+import { startTestSite } from "./start_test_site.ts";
 import { TEST_DOCUMENT } from "./test_document.ts";
 
 const SCRIPT = require.resolve("@mallowlift/cli/bin/mallowctl.js");
@@ -35,19 +34,7 @@
 }
 
 test("an operator reads and replaces the document, and empties a store", async (t) => {
-  const upstream = new OpaqueUpstream("u-1");
-  await upstream.start();
-  const folder = t.testdir();
-  const site = await GatewaySite.start({
-    folder,
-    gateways: 1,
-    stores: 4,
-    upstreams: [upstream],
-  }, TEST_DOCUMENT);
-  t.teardown(async () => {
-    await site.stop();
-    upstream.stop();
-  });
+  const { site, folder } = await startTestSite(t, { stores: 4 });
   const entry = site.gateways[0]?.operatorsUrl ?? "";
   const control = (...words: string[]) => run(entry, words);
 
--- a/packages/bench/src/gateways/gateway_test.ts
+++ b/packages/bench/src/gateways/gateway_test.ts
@@ -1,16 +1,13 @@
 import { get } from "node:http";
 import type { RoutingDocument } from "@mallowlift/core";
 import { sleep } from "@mallowlift/core";
-import { describeOutput, OpaqueUpstream } from "@mallowlift/mocks";
+import { describeOutput } from "@mallowlift/mocks";
 import { type Test, test } from "tap";
 import { callGateway, type CallSeen } from "./gateway_caller.ts";
-import { GatewaySite } from "./gateway_site.ts";
+import { startTestSite, type TestSite } from "./start_test_site.ts";
 import { TEST_DOCUMENT } from "./test_document.ts";
 
-interface Running {
-  readonly site: GatewaySite;
-  readonly upstreams: readonly OpaqueUpstream[];
-}
+type Running = TestSite;
 
 async function start(
   t: Test,
@@ -18,20 +15,8 @@
   waitMilliseconds?: number,
   stores = 3,
 ): Promise<Running> {
-  const upstreams = [new OpaqueUpstream("u-1"), new OpaqueUpstream("u-2")];
-  for (const upstream of upstreams) await upstream.start();
-  const site = await GatewaySite.start({
-    folder: t.testdir(),
-    gateways,
-    stores,
-    upstreams,
-    waitMilliseconds,
-  }, TEST_DOCUMENT);
-  t.teardown(async () => {
-    await site.stop();
-    for (const upstream of upstreams) upstream.stop();
-  });
-  return { site, upstreams };
+  const plan = { gateways, stores, upstreams: 2, waitMilliseconds };
+  return await startTestSite(t, plan);
 }
 
 function askTurn(
--- a/packages/bench/src/gateways/operations_test.ts
+++ b/packages/bench/src/gateways/operations_test.ts
@@ -2,11 +2,11 @@
 import { readFileSync } from "node:fs";
 import { join } from "node:path";
 import { sleep } from "@mallowlift/core";
-import { OpaqueUpstream } from "@mallowlift/mocks";
+import type { OpaqueUpstream } from "@mallowlift/mocks";
 import { type Test, test } from "tap";
 import { callGateway } from "./gateway_caller.ts";
-import { GatewaySite } from "./gateway_site.ts";
-import { TEST_DOCUMENT } from "./test_document.ts";
+import type { GatewaySite } from "./gateway_site.ts";
+import { startTestSite } from "./start_test_site.ts";
 
 const SCRIPT = require.resolve("@mallowlift/cli/bin/mallowctl.js");
 const PAGE = join(__dirname, "../../../../docs/OPERATIONS.md");
@@ -20,20 +20,9 @@
 }
 
 async function start(t: Test): Promise<Running> {
-  const upstream = new OpaqueUpstream("u-1");
-  await upstream.start();
-  const folder = t.testdir();
-  const site = await GatewaySite.start({
-    folder,
-    gateways: 1,
-    stores: 3,
-    upstreams: [upstream],
-  }, TEST_DOCUMENT);
-  t.teardown(async () => {
-    await site.stop();
-    upstream.stop();
-  });
-  const url = site.gateways[0]?.callersUrl ?? "";
+  const { site, upstreams, url, folder } = await startTestSite(t);
+  const [upstream] = upstreams;
+  if (upstream === undefined) throw new Error("No upstream");
   return {
     site,
     upstream,
--- /dev/null
+++ b/packages/bench/src/gateways/start_test_site.ts
@@ -0,0 +1,60 @@
+/** Starts a site of gateways and stores for one test, and ends it afterwards. */
+
+import { OpaqueUpstream } from "@mallowlift/mocks";
+import type { Test } from "tap";
+import { GatewaySite } from "./gateway_site.ts";
+import { TEST_DOCUMENT } from "./test_document.ts";
+
+/** How large the site is. */
+export interface TestSitePlan {
+  /** Usually 1. */
+  readonly gateways?: number;
+  /** Usually 3. */
+  readonly stores?: number;
+  /** Usually 1. */
+  readonly upstreams?: number;
+  /** How long a request waits for a leader or a document, ms. */
+  readonly waitMilliseconds?: number;
+}
+
+/** A site that runs. */
+export interface TestSite {
+  readonly site: GatewaySite;
+  /** Named u-1, u-2 and so on. */
+  readonly upstreams: readonly OpaqueUpstream[];
+  /** Where the first gateway serves callers. */
+  readonly url: string;
+  /** Folder of the site's data and logs. */
+  readonly folder: string;
+}
+
+/**
+ * Starts a site with {@linkcode TEST_DOCUMENT} in force.
+ *
+ * @example
+ * ```ts
+ * const { url, upstreams } = await startTestSite(t, { upstreams: 2 });
+ * ```
+ */
+export async function startTestSite(
+  t: Test,
+  plan: TestSitePlan = {},
+): Promise<TestSite> {
+  const { gateways = 1, stores = 3, waitMilliseconds } = plan;
+  const upstreams = Array.from(
+    { length: plan.upstreams ?? 1 },
+    (_, index) => new OpaqueUpstream(`u-${index + 1}`),
+  );
+  for (const upstream of upstreams) await upstream.start();
+  const folder = t.testdir();
+  const site = await GatewaySite.start(
+    { folder, gateways, stores, upstreams, waitMilliseconds },
+    TEST_DOCUMENT,
+  );
+  t.teardown(async () => {
+    await site.stop();
+    for (const upstream of upstreams) upstream.stop();
+  });
+  const url = site.gateways[0]?.callersUrl ?? "";
+  return { site, upstreams, url, folder };
+}
--- a/packages/bench/src/gateways/unkept_turns_test.ts
+++ b/packages/bench/src/gateways/unkept_turns_test.ts
@@ -1,30 +1,18 @@
 /** Turns with a budget on a route whose history nobody keeps. */
 
 import { sleep } from "@mallowlift/core";
-import { OpaqueUpstream } from "@mallowlift/mocks";
 import { test } from "tap";
 import { callGateway, type CallSeen } from "./gateway_caller.ts";
-import { GatewaySite } from "./gateway_site.ts";
-import { TEST_DOCUMENT } from "./test_document.ts";
+import { startTestSite } from "./start_test_site.ts";
 
 const EVENTS = 20;
 const LOOK_MILLISECONDS = 10;
 
 test("a turn that nobody goes on from needs the stores only to begin", async (t) => {
-  const upstream = new OpaqueUpstream("u-1");
-  await upstream.start();
+  const { site, upstreams, url } = await startTestSite(t);
+  const [upstream] = upstreams;
+  if (upstream === undefined) throw new Error("No upstream");
   upstream.events = EVENTS;
-  const site = await GatewaySite.start({
-    folder: t.testdir(),
-    gateways: 1,
-    stores: 3,
-    upstreams: [upstream],
-  }, TEST_DOCUMENT);
-  t.teardown(async () => {
-    await site.stop();
-    upstream.stop();
-  });
-  const url = site.gateways[0]?.callersUrl ?? "";
   const ask = (callId: string): Promise<CallSeen> =>
     callGateway(url, {
       callId,
