--- a/packages/gateway/src/calls/program_urgency.ts
+++ b/packages/gateway/src/calls/program_urgency.ts
@@ -9,7 +9,9 @@
  *
  * What it buys: at a simulated site of 7 gateways and 8 engines of 16 slots, in
  * a rush of 8 s at twice the usual load, 97% instead of 92% of the programs'
- * worth came in time (runs of 20 s with the same arrivals, one each).
+ * worth came in time while engines read many prompts anew. Since prompts are
+ * placed where they were read, two such runs show no difference: 100% with and
+ * without, and 92% with and 93% without.
  */
 
 /** How soon a request is served among those of its route; less is sooner. */
