Tell why leaderships end, what waits, and what is asked again

Change: lines and counters for votes, elections, the end of a leadership with each member's lag, silence and unsent bytes, entries that wait, and commands that were asked again or decided for nobody. No decision changes.

--- a/packages/cli/src/commands/explain_command.ts
+++ b/packages/cli/src/commands/explain_command.ts
@@ -11,7 +11,7 @@
 
 /** Messages that change what a process believes, rather than tell of a request. */
 const BELIEFS =
-  /: (Leader found|Leader lost|Leading|Stepped down|Document in force|Instance list (in force|lost|regained|changed)|Ready|Not ready|Stood still|Started|Stopping|Settings reloaded|Members changed)/;
+  /: (Leader found|Leader lost|Leading|Leadership ended|Entries wait|Document in force|Instance list (in force|lost|regained|changed)|Ready|Not ready|Stood still|Started|Stopping|Settings reloaded|Members changed)/;
 
 /** One line of a log, as far as the story needs it. */
 export interface LogLine {
--- a/packages/consensus/src/group/election.ts
+++ b/packages/consensus/src/group/election.ts
@@ -21,6 +21,10 @@
 /** How the voters decided. */
 export interface ElectionResult {
   readonly won: boolean;
+  /** Votes that were given, with the own one. */
+  readonly granted: number;
+  /** Votes that were refused; the others did not answer in time. */
+  readonly refused: number;
   /** Highest term seen in the answers. */
   readonly highestTerm: number;
 }
@@ -37,17 +41,19 @@
   const quorum = membership.quorum;
   const decided = createDeferred<void>();
   let granted = 1;
+  let refused = 0;
   let highestTerm = ballot.term;
-  if (granted >= quorum) return { won: true, highestTerm };
+  if (granted >= quorum) return { won: true, granted, refused, highestTerm };
   const asking = others.map(async (voter) => {
     const reply = await askVoter(voter, ballot, options);
     if (reply === undefined) return;
     highestTerm = Math.max(highestTerm, reply.term);
     if (reply.granted) granted++;
+    else refused++;
     if (granted >= quorum) decided.resolve(undefined);
   });
   await Promise.race([decided.promise, Promise.all(asking)]);
-  return { won: granted >= quorum, highestTerm };
+  return { won: granted >= quorum, granted, refused, highestTerm };
 }
 
 async function askVoter(
--- a/packages/consensus/src/group/leadership.ts
+++ b/packages/consensus/src/group/leadership.ts
@@ -16,6 +16,7 @@
 import type { Caller } from "@mallowlift/transport";
 import { Ok } from "ts-results";
 import type { GroupLog } from "./group_log.ts";
+import type { MemberView } from "./group_report.ts";
 import type { GroupOptions } from "./group_options.ts";
 import { isSameReplica, type Membership } from "./membership.ts";
 import { PeerProgress } from "./peer_progress.ts";
@@ -184,6 +185,18 @@
     return lag;
   }
 
+  /** Every other member as this leader sees it, for logs. */
+  viewMembers(now: number): readonly MemberView[] {
+    const { log, options } = this.#parts;
+    return this.#peers.map((peer) => ({
+      replicaId: peer.member.replicaId,
+      role: peer.member.role,
+      lag: log.lastIndex - peer.matchIndex,
+      silentMilliseconds: now - peer.heardAt,
+      unsentBytes: options.findPeer(peer.member).unsentBytes ?? 0,
+    }));
+  }
+
   async #replicate(peer: PeerProgress): Promise<void> {
     const { options, log } = this.#parts;
     const caller = options.findPeer(peer.member);
--- a/packages/consensus/src/group/replicated_group.ts
+++ b/packages/consensus/src/group/replicated_group.ts
@@ -22,10 +22,18 @@
 } from "@mallowlift/core";
 import { Ok } from "ts-results";
 import { type Applied, Applier } from "./applier.ts";
-import { askForVotes, type Ballot } from "./election.ts";
+import { askForVotes, type Ballot, type ElectionResult } from "./election.ts";
 import { encodePayload } from "./encode_payload.ts";
 import { EntryStore } from "./entry_store.ts";
 import type { GroupOptions } from "./group_options.ts";
+import {
+  GroupReport,
+  LEADERSHIP_ENDS,
+  type LeadershipEnd,
+  VOTE_OUTCOMES,
+  type VoteOutcome,
+  type WaitingView,
+} from "./group_report.ts";
 import { IncomingSnapshot } from "./incoming_snapshot.ts";
 import { Leadership } from "./leadership.ts";
 import { encodeMembers, type Membership } from "./membership.ts";
@@ -44,6 +52,7 @@
   readonly #applier: Applier;
   readonly #incoming = new IncomingSnapshot();
   readonly #stopped = new AbortController();
+  readonly #report: GroupReport;
   #term: number;
   #votedFor: string;
   #leader = "";
@@ -56,6 +65,7 @@
   constructor(options: GroupOptions) {
     this.#options = options;
     this.group = options.group;
+    this.#report = new GroupReport(options.group, options);
     const stored = options.folder.getStored(options.group);
     this.#term = stored.term;
     this.#votedFor = stored.votedFor;
@@ -76,7 +86,7 @@
   /** Ends all tasks; proposals under way fail. */
   stop(): void {
     this.#stopped.abort(ABORTED);
-    this.#stepDown();
+    this.#stepDown(LEADERSHIP_ENDS.STOPPED);
   }
 
   /** True if this replica leads and has applied all that came before its term. */
@@ -182,27 +192,41 @@
 
   /** Serves a vote request. */
   async handleVote(request: VoteRequest): Promise<Outcome<VoteReply>> {
-    const refused: VoteReply = { term: this.#term, granted: false };
-    if (!this.#isForMe(request.toIncarnation)) return Ok(refused);
-    const lease = this.#options.timing.electionMilliseconds;
-    const fresh = performance.now() - this.#heardAt < lease ||
-      this.#leadership !== undefined;
-    if (fresh && !request.handover) return Ok(refused);
-    if (request.term < this.#term || !this.#isUpToDate(request)) {
-      return Ok(refused);
-    }
-    if (request.preVote) return Ok({ term: this.#term, granted: true });
-    if (request.term > this.#term) this.#adoptTerm(request.term);
-    const candidate = request.from.replicaId;
-    if (this.#votedFor !== "" && this.#votedFor !== candidate) {
+    const now = performance.now();
+    const outcome = this.#judgeVote(request, now);
+    this.#noteVote(request, outcome, now);
+    if (outcome !== VOTE_OUTCOMES.GRANTED) {
       return Ok({ term: this.#term, granted: false });
     }
-    this.#votedFor = candidate;
-    this.#heardAt = performance.now();
+    if (request.preVote) return Ok({ term: this.#term, granted: true });
+    this.#votedFor = request.from.replicaId;
+    this.#heardAt = now;
     await this.#saveVote();
     return Ok({ term: request.term, granted: this.#term === request.term });
   }
 
+  /** Decides on a vote; a later term of a true ballot is adopted. */
+  #judgeVote(request: VoteRequest, now: number): VoteOutcome {
+    if (!this.#isForMe(request.toIncarnation)) return VOTE_OUTCOMES.STRANGER;
+    const lease = this.#options.timing.electionMilliseconds;
+    const isHeard = now - this.#heardAt < lease ||
+      this.#leadership !== undefined;
+    if (isHeard && !request.handover) return VOTE_OUTCOMES.LEADER_HEARD;
+    if (request.term < this.#term) return VOTE_OUTCOMES.OLD_TERM;
+    if (!this.#isUpToDate(request)) return VOTE_OUTCOMES.BEHIND;
+    if (request.preVote) return VOTE_OUTCOMES.GRANTED;
+    if (request.term > this.#term) this.#adoptTerm(request.term);
+    const isFree = this.#votedFor === "" ||
+      this.#votedFor === request.from.replicaId;
+    return isFree ? VOTE_OUTCOMES.GRANTED : VOTE_OUTCOMES.GIVEN;
+  }
+
+  #noteVote(request: VoteRequest, outcome: VoteOutcome, now: number): void {
+    const { term, preVote, from } = request;
+    const vote = { term, preVote, candidate: from.replicaId };
+    this.#report.noteVote(outcome, vote, now);
+  }
+
   /** Serves an append request. */
   async handleAppend(request: AppendRequest): Promise<Outcome<AppendReply>> {
     const term = this.#term;
@@ -327,6 +351,7 @@
       if (this.#stopped.signal.aborted) return;
       const now = performance.now();
       if (this.#leadership !== undefined) {
+        this.#report.noteWaiting(this.#viewWaiting(this.#leadership, now), now);
         this.#checkQuorum(this.#leadership, now);
         continue;
       }
@@ -342,10 +367,7 @@
       !joined ||
       leadership.countAckedSince(since) >= this.#store.membership.quorum
     ) return;
-    this.#options.logger.warn("Stepped down without a quorum", {
-      group: this.group,
-    });
-    this.#stepDown();
+    this.#stepDown(LEADERSHIP_ENDS.NO_QUORUM);
   }
 
   async #elect(handover: boolean): Promise<void> {
@@ -382,10 +404,32 @@
       options: this.#options,
       membership: this.#store.membership,
     });
+    this.#noteElection(ballot, result);
     if (result.highestTerm > ballot.term) this.#adoptTerm(result.highestTerm);
     return result.won && this.#term === term;
   }
 
+  #noteElection(ballot: Ballot, result: ElectionResult): void {
+    const now = performance.now();
+    this.#report.noteElection({
+      term: ballot.term,
+      preVote: ballot.preVote,
+      won: result.won,
+      granted: result.granted,
+      refused: result.refused,
+      voters: this.#store.membership.voters.length,
+      silentMilliseconds: this.findSilence(now),
+    }, now);
+  }
+
+  #viewWaiting(leadership: Leadership, now: number): WaitingView {
+    return {
+      term: leadership.term,
+      waiting: this.#store.log.lastIndex - this.#applier.commitIndex,
+      members: leadership.viewMembers(now),
+    };
+  }
+
   #lead(): void {
     if (this.#stopped.signal.aborted) return;
     this.#leader = this.#options.identity.replicaId;
@@ -417,13 +461,19 @@
     this.#options.listener.onLeading(leadership.term);
   }
 
-  #stepDown(): void {
+  #stepDown(reason: LeadershipEnd): void {
     const leadership = this.#leadership;
     if (leadership === undefined) return;
+    const now = performance.now();
+    this.#report.noteEnd(
+      reason,
+      this.#viewWaiting(leadership, now),
+      now - leadership.startedAt,
+    );
     this.#leadership = undefined;
     leadership.end();
     if (this.#leader === this.#options.identity.replicaId) this.#leader = "";
-    this.#heardAt = performance.now();
+    this.#heardAt = now;
     this.#applier.loseProposals();
     if (!this.#announced) return;
     this.#announced = false;
@@ -433,7 +483,7 @@
 
   #adoptTerm(term: number): void {
     if (term <= this.#term) return;
-    this.#stepDown();
+    this.#stepDown(LEADERSHIP_ENDS.HIGHER_TERM);
     this.#term = term;
     this.#votedFor = "";
     void this.#saveVote();
--- a/packages/core/src/metrics/metrics.ts
+++ b/packages/core/src/metrics/metrics.ts
@@ -41,6 +41,11 @@
   readonly commitSeconds: Histogram<"group">;
   readonly callSeconds: Histogram<"kind">;
   readonly leading: Gauge<"group">;
+  readonly waitingEntries: Gauge<"group">;
+  readonly leadershipEnds: Counter<"group" | "reason">;
+  readonly votes: Counter<"group" | "outcome">;
+  readonly proposals: Counter<"kind" | "asked">;
+  readonly unheardAnswers: Counter<"kind">;
   readonly revision: Gauge;
   readonly running: Gauge;
   readonly queued: Gauge;
@@ -99,6 +104,37 @@
       labelNames: ["group"],
       registers,
     }),
+    waitingEntries: new Gauge({
+      name: "mallowlift_waiting_entries",
+      help: "Entries of this leader that no quorum holds yet",
+      labelNames: ["group"],
+      registers,
+    }),
+    leadershipEnds: new Counter({
+      name: "mallowlift_leadership_ends_total",
+      help: "Leaderships of this replica that ended, by reason",
+      labelNames: ["group", "reason"],
+      registers,
+    }),
+    votes: new Counter({
+      name: "mallowlift_votes_total",
+      help: "Votes that this replica was asked for, by what became of them",
+      labelNames: ["group", "outcome"],
+      registers,
+    }),
+    proposals: new Counter({
+      name: "mallowlift_proposals_total",
+      help:
+        "Commands that this leader was asked for, by kind, once or again while under way",
+      labelNames: ["kind", "asked"],
+      registers,
+    }),
+    unheardAnswers: new Counter({
+      name: "mallowlift_unheard_answers_total",
+      help: "Commands decided after their asker had given up, by kind",
+      labelNames: ["kind"],
+      registers,
+    }),
     revision: new Gauge({
       name: "mallowlift_configuration_revision",
       help: "Revision of the configuration in force",
--- a/packages/core/src/mod.ts
+++ b/packages/core/src/mod.ts
@@ -14,5 +14,6 @@
 export * from "./settings/describe_settings.ts";
 export * from "./logs/log_queue.ts";
 export * from "./logs/logger.ts";
+export * from "./logs/repeat_limit.ts";
 export * from "./metrics/metrics.ts";
 export * from "./supervisor/supervisor.ts";
--- /dev/null
+++ b/packages/store/src/proposal_report.ts
@@ -0,0 +1,63 @@
+/** Tells how much a leader is asked, how much of it again, and for nobody. */
+
+import type { Logger, Metrics } from "@mallowlift/core";
+
+/** Time between two lines, ms. */
+const SPAN_MILLISECONDS = 1_000;
+
+/** What became of a command by the time that it was decided. */
+export interface CommandEnd {
+  readonly kind: string;
+  /** From the proposal to the decision, ms. */
+  readonly milliseconds: number;
+  /** True if the same was asked for while an earlier one was under way. */
+  readonly isRepeated: boolean;
+  /** True if the asker had given up before the answer. */
+  readonly isUnheard: boolean;
+}
+
+/** Counts commands, and writes a line a second when any was repeated or unheard. */
+export class ProposalReport {
+  readonly #logger: Logger;
+  readonly #metrics: Metrics;
+  #since = 0;
+  #decided = 0;
+  #repeated = 0;
+  #unheard = 0;
+  #slowest = 0;
+
+  constructor(parts: { readonly logger: Logger; readonly metrics: Metrics }) {
+    this.#logger = parts.logger;
+    this.#metrics = parts.metrics;
+  }
+
+  /** Notes one command that was decided or lost. */
+  note(end: CommandEnd, now: number): void {
+    const { kind, isRepeated, isUnheard } = end;
+    this.#metrics.proposals.inc({ kind, asked: isRepeated ? "again" : "once" });
+    if (isUnheard) this.#metrics.unheardAnswers.inc({ kind });
+    this.#decided++;
+    if (isRepeated) this.#repeated++;
+    if (isUnheard) this.#unheard++;
+    this.#slowest = Math.max(this.#slowest, end.milliseconds);
+    if (now - this.#since >= SPAN_MILLISECONDS) this.#write(now);
+  }
+
+  #write(now: number): void {
+    const isNotable = this.#repeated > 0 || this.#unheard > 0;
+    if (isNotable) {
+      this.#logger.info("Commands asked again", {
+        decided: this.#decided,
+        repeated: this.#repeated,
+        unheard: this.#unheard,
+        slowest_ms: Math.round(this.#slowest),
+        span_ms: Math.round(now - this.#since),
+      });
+    }
+    this.#since = now;
+    this.#decided = 0;
+    this.#repeated = 0;
+    this.#unheard = 0;
+    this.#slowest = 0;
+  }
+}
--- a/packages/store/src/site_owner.ts
+++ b/packages/store/src/site_owner.ts
@@ -17,6 +17,7 @@
   type Logger,
   type Metrics,
   type Outcome,
+  RepeatLimit,
   type ReplaceDocument,
   RESULT_CODES,
   type ResultCode,
@@ -29,6 +30,7 @@
 import { Ok } from "ts-results";
 import type { InstanceReader } from "./instance_reader.ts";
 import { LatestUpstreams } from "./latest_upstreams.ts";
+import { ProposalReport } from "./proposal_report.ts";
 
 /** What the owner works with. */
 export interface SiteOwnerOptions {
@@ -42,18 +44,29 @@
   readonly metrics: Metrics;
 }
 
+/**
+ * Least time between two lines on refused turns of one program, ms: a program
+ * that loops asks dozens of times a second.
+ */
+const REFUSAL_SPAN_MILLISECONDS = 10_000;
+
 type Nothing = Record<string, never>;
 
 /** The leader's side of the site. */
 export class SiteOwner implements LeadershipListener {
   readonly #options: SiteOwnerOptions;
   readonly #latest = new LatestUpstreams();
+  readonly #report: ProposalReport;
+  /** Commands that are not decided yet, as {@linkcode describeCommand} names them. */
+  readonly #underWay = new Set<string>();
+  readonly #refusals = new RepeatLimit(REFUSAL_SPAN_MILLISECONDS);
   #isLeading = false;
   /** Time of the site when this leadership began, and of the local clock. */
   #base = { site: 0, local: 0 };
 
   constructor(options: SiteOwnerOptions) {
     this.#options = options;
+    this.#report = new ProposalReport(options);
     options.state.onDocument = () => options.changed.wake();
   }
 
@@ -91,9 +104,13 @@
   }
 
   /** Puts a document in force. */
-  async replace(request: ReplaceDocument): Promise<Outcome<DocumentAck>> {
+  async replace(
+    request: ReplaceDocument,
+    signal: AbortSignal,
+  ): Promise<Outcome<DocumentAck>> {
     const { document, source } = request;
-    const result = await this.#propose({ kind: "document", document, source });
+    const command = { kind: "document", document, source } as const;
+    const result = await this.#propose(command, signal);
     if (result.err) return result;
     const { state, logger } = this.#options;
     logger.info("Document replaced", {
@@ -104,8 +121,8 @@
   }
 
   /** The newest document, confirmed by a quorum. */
-  async read(): Promise<Outcome<DocumentSource>> {
-    const result = await this.#propose({ kind: "read" });
+  async read(signal: AbortSignal): Promise<Outcome<DocumentSource>> {
+    const result = await this.#propose({ kind: "read" }, signal);
     if (result.err) return result;
     const { state } = this.#options;
     const source = state.document?.source ?? new Uint8Array();
@@ -113,11 +130,15 @@
   }
 
   /** Begins a turn. */
-  async begin(request: BeginTurn): Promise<Outcome<TurnBegun>> {
+  async begin(
+    request: BeginTurn,
+    signal: AbortSignal,
+  ): Promise<Outcome<TurnBegun>> {
     // What the gateway holds is nobody else's concern, so it is not replicated.
     const { missingFrom, knownTurns, ...reserve } = request;
     const at = this.#findTime();
-    const result = await this.#propose({ kind: "begin", at, ...reserve });
+    const command = { kind: "begin", at, ...reserve } as const;
+    const result = await this.#propose(command, signal);
     if (result.err) {
       this.#noteRefusedTurn(request, result.val.code);
       return result;
@@ -132,15 +153,19 @@
   }
 
   /** Ends a turn. */
-  async end(request: EndTurn): Promise<Outcome<Nothing>> {
+  async end(request: EndTurn, signal: AbortSignal): Promise<Outcome<Nothing>> {
     this.#latest.note(request.programId, request.upstream);
     const at = this.#findTime();
-    const result = await this.#propose({ kind: "end", at, ...request });
+    const command = { kind: "end", at, ...request } as const;
+    const result = await this.#propose(command, signal);
     return result.err ? result : Ok({});
   }
 
   /** Starts to empty a store. */
-  async retire(request: RetireStore): Promise<Outcome<Nothing>> {
+  async retire(
+    request: RetireStore,
+    signal: AbortSignal,
+  ): Promise<Outcome<Nothing>> {
     const { state, leastStores } = this.#options;
     const members = this.#options.getGroup()?.membership.members ?? [];
     const known = members.find((member) => member.replicaId === request.name);
@@ -164,15 +189,17 @@
     }
     const { incarnation } = known;
     const { name } = request;
-    const result = await this.#propose({ kind: "retire", name, incarnation });
+    const command = { kind: "retire", name, incarnation } as const;
+    const result = await this.#propose(command, signal);
     return result.err ? result : Ok({});
   }
 
   /** True once a store is no member and the others hold everything. */
   async describeRetirement(
     request: RetireStore,
+    signal: AbortSignal,
   ): Promise<Outcome<RetireState>> {
-    const result = await this.#propose({ kind: "read" });
+    const result = await this.#propose({ kind: "read" }, signal);
     if (result.err) return result;
     const group = this.#options.getGroup();
     if (group === undefined) return this.#refuse();
@@ -204,9 +231,17 @@
     };
   }
 
-  /** One line with what a final refusal of a turn was decided on. */
+  /** What a final refusal of a turn was decided on, once in a while a program. */
   #noteRefusedTurn(request: BeginTurn, code: ResultCode): void {
     const { state, logger } = this.#options;
+    const isFinal = code === RESULT_CODES.BUDGET_EXCEEDED ||
+      code === RESULT_CODES.TURN_NOT_FOUND;
+    if (!isFinal) return;
+    const repeats = this.#refusals.take(
+      `${code.name} ${request.programId}`,
+      performance.now(),
+    );
+    if (repeats === undefined) return;
     if (code === RESULT_CODES.BUDGET_EXCEEDED) {
       const use = state.budgets.describe(request.programId);
       return logger.info("Budget spent", {
@@ -216,21 +251,25 @@
         spent: use.spent,
         reserved: use.reserved,
         open_turns: use.openTurns,
+        repeats,
       });
     }
-    if (code !== RESULT_CODES.TURN_NOT_FOUND) return;
     logger.info("Earlier turn not found", {
       call: request.turnId,
       program: request.programId,
       previous: request.previousId,
       kept_turns: state.turns.size,
+      repeats,
     });
   }
 
-  async #propose(command: SiteCommand): Promise<Outcome<SiteResult>> {
+  async #propose(
+    command: SiteCommand,
+    signal: AbortSignal,
+  ): Promise<Outcome<SiteResult>> {
     const group = this.#options.getGroup();
     if (group === undefined) return this.#refuse();
-    const applied = await group.propose(command);
+    const applied = await this.#watch(command, signal, group.propose(command));
     if (applied.err) return applied;
     const result = applied.val.result as SiteResult;
     if (result.code === "OK") return Ok(result);
@@ -238,6 +277,28 @@
     return fail(code, code.meaning);
   }
 
+  /** Notes how a command ended, and whether anybody still waited for it. */
+  async #watch<T>(
+    command: SiteCommand,
+    signal: AbortSignal,
+    proposed: Promise<T>,
+  ): Promise<T> {
+    const key = describeCommand(command);
+    const startedAt = performance.now();
+    const isRepeated = this.#underWay.has(key);
+    this.#underWay.add(key);
+    const outcome = await proposed;
+    if (!isRepeated) this.#underWay.delete(key);
+    const now = performance.now();
+    this.#report.note({
+      kind: command.kind,
+      milliseconds: now - startedAt,
+      isRepeated,
+      isUnheard: signal.aborted,
+    }, now);
+    return outcome;
+  }
+
   #findTime(): number {
     const { site, local } = this.#base;
     return site + Math.round(performance.now() - local);
@@ -247,3 +308,14 @@
     return fail(RESULT_CODES.NOT_LEADER, "This store does not lead");
   }
 }
+
+/** What two commands have in common if the second asks for the same again. */
+function describeCommand(command: SiteCommand): string {
+  if (command.kind === "begin" || command.kind === "end") {
+    return `${command.kind} ${command.programId} ${command.turnId}`;
+  }
+  if (command.kind === "document") {
+    return `document ${command.document.version}`;
+  }
+  return command.kind === "retire" ? `retire ${command.name}` : "read";
+}
--- a/packages/store/src/store_app.ts
+++ b/packages/store/src/store_app.ts
@@ -7,11 +7,12 @@
 export function createStoreHandlers(owner: SiteOwner): HandlerTable {
   return {
     "site.follow": (request, { signal }) => owner.follow(request, signal),
-    "site.replace": (request) => owner.replace(request),
-    "site.read": () => owner.read(),
-    "site.retire": (request) => owner.retire(request),
-    "site.retirement": (request) => owner.describeRetirement(request),
-    "turns.begin": (request) => owner.begin(request),
-    "turns.end": (request) => owner.end(request),
+    "site.replace": (request, { signal }) => owner.replace(request, signal),
+    "site.read": (_request, { signal }) => owner.read(signal),
+    "site.retire": (request, { signal }) => owner.retire(request, signal),
+    "site.retirement": (request, { signal }) =>
+      owner.describeRetirement(request, signal),
+    "turns.begin": (request, { signal }) => owner.begin(request, signal),
+    "turns.end": (request, { signal }) => owner.end(request, signal),
   };
 }
--- a/packages/transport/src/connection.ts
+++ b/packages/transport/src/connection.ts
@@ -115,6 +115,11 @@
     return this.#open;
   }
 
+  /** Bytes that wait for the peer or the link to take them. */
+  get unsentBytes(): number {
+    return this.#parts.socket.writableLength;
+  }
+
   /** Handles bytes that came together with the end of the handshake. */
   readAhead(messages: readonly unknown[]): void {
     for (const message of messages) this.#handleMessage(message);
--- a/packages/transport/src/handlers.ts
+++ b/packages/transport/src/handlers.ts
@@ -30,6 +30,8 @@
 
 /** Something that calls can be made on. */
 export interface Caller {
+  /** Bytes that wait to be sent, where that is known. */
+  readonly unsentBytes?: number;
   /** Calls a method of the peer. */
   call<N extends HandlerName>(
     name: N,
--- a/packages/transport/src/peer_link.ts
+++ b/packages/transport/src/peer_link.ts
@@ -65,6 +65,11 @@
     return this.#connection?.isOpen === true;
   }
 
+  /** Bytes that wait to be sent; none without a connection. */
+  get unsentBytes(): number {
+    return this.#connection?.unsentBytes ?? 0;
+  }
+
   /** When the link last began to carry a call, by the monotonic clock, ms. */
   get lastUsedAt(): number {
     return this.#lastUsedAt;
