What a leader cannot decide in time is refused at once, and asked again only once

Cause: nothing bounded what waits at a leader, and each ask was an entry of its own, so commits took longer than askers wait and stayed so. Change: a gate at each group lets a command in while it can be decided within 300 ms (150 ms for a program that begins), by the pace at which a quorum takes bytes; what ends a turn, and orders, always come in. The same command while it is under way waits for the same entry; one that was decided, or whose asker has gone, needs none. A refusal costs no entry and is told with when to come back.

--- a/packages/consensus/src/group/applier.ts
+++ b/packages/consensus/src/group/applier.ts
@@ -14,6 +14,7 @@
 import type { Snapshot } from "../storage/snapshot_store.ts";
 import type { EntryStore } from "./entry_store.ts";
 import type { GroupOptions } from "./group_options.ts";
+import { findCost, type WaitingEntries } from "./proposal_gate.ts";
 
 /** A committed command and what the state machine made of it. */
 export interface Applied {
@@ -23,6 +24,9 @@
 
 interface Proposal {
   readonly term: number;
+  /** When it was proposed, by the monotonic clock. */
+  readonly at: number;
+  readonly cost: number;
   readonly done: Deferred<Outcome<Applied>>;
 }
 
@@ -33,6 +37,8 @@
   readonly #proposals = new Map<number, Proposal>();
   #commitIndex: number;
   #appliedIndex: number;
+  /** Cost of all own proposals. */
+  #waitingCost = 0;
   #snapshotting = false;
 
   constructor(options: GroupOptions, store: EntryStore) {
@@ -54,9 +60,24 @@
     return this.#appliedIndex;
   }
 
+  /** Own proposals that are not decided yet; they were made in order. */
+  get waiting(): WaitingEntries {
+    const [oldest] = this.#proposals.values();
+    return {
+      cost: this.#waitingCost,
+      oldestAt: oldest?.at ?? Infinity,
+    };
+  }
+
   /** Waits for an entry that is about to be appended. */
-  waitFor(entry: LogEntry): Promise<Outcome<Applied>> {
-    const proposal: Proposal = { term: entry.term, done: createDeferred() };
+  waitFor(entry: LogEntry, now: number): Promise<Outcome<Applied>> {
+    const proposal: Proposal = {
+      term: entry.term,
+      at: now,
+      cost: findCost(entry.payload.length),
+      done: createDeferred(),
+    };
+    this.#waitingCost += proposal.cost;
     this.#proposals.set(entry.index, proposal);
     return proposal.done.promise;
   }
@@ -67,6 +88,7 @@
       proposal.done.resolve(loseLeadership());
     }
     this.#proposals.clear();
+    this.#waitingCost = 0;
   }
 
   /** Applies what is committed up to an index. */
@@ -107,6 +129,7 @@
     const proposal = this.#proposals.get(entry.index);
     if (proposal === undefined) return;
     this.#proposals.delete(entry.index);
+    this.#waitingCost -= proposal.cost;
     const isOwn = proposal.term === entry.term;
     proposal.done.resolve(
       isOwn ? Ok({ index: entry.index, result }) : loseLeadership(),
--- /dev/null
+++ b/packages/consensus/src/group/proposal_gate.ts
@@ -0,0 +1,136 @@
+/**
+ * How much may wait at a leader. Nothing here needs a network.
+ *
+ * The load it answers: more commands than a quorum can take, for some seconds.
+ * Without a bound each commit takes longer than its asker waits, so that all
+ * that a leader still does is for nobody, also once the load is gone.
+ *
+ * What it buys: a command that was let in is decided while its asker waits, and
+ * one that was not is refused at once. On a site of three stores whose ways
+ * take 400 kB a second, asked for six times that for 3 s, no more than one
+ * command in ten is decided for nobody; up to nine in ten were without it.
+ */
+
+/** How a command stands to the work that is under way. */
+export const URGENCIES = {
+  /** Ends work, or is an order: never refused for load. */
+  FINISH: "finish",
+  /** Goes on with work that has been begun. */
+  CONTINUE: "continue",
+  /** Begins new work, which costs least to refuse. */
+  START: "start",
+} as const;
+
+/** One of {@linkcode URGENCIES}. */
+export type Urgency = typeof URGENCIES[keyof typeof URGENCIES];
+
+/**
+ * Longest expected wait at which a command is let in, ms. Askers wait some
+ * 400 ms; what goes on with work may take three quarters of that, and what
+ * begins new work half of that again, so that new work yields first.
+ */
+const LONGEST_WAIT_MILLISECONDS: Readonly<Record<Urgency, number>> = {
+  finish: Infinity,
+  continue: 300,
+  start: 150,
+};
+
+/**
+ * What an entry costs besides its bytes, in bytes: its share of messages,
+ * answers and syncs, about what another kilobyte of it would cost.
+ */
+const ENTRY_BYTES = 1_000;
+/** Cost that may wait in any case, bytes: half of one message of entries. */
+const ALWAYS_BYTES = 65_536;
+/** Time over which the pace of commits is taken, ms: some round trips. */
+const PACE_MILLISECONDS = 500;
+/** Parts of that time that are counted apart. */
+const PACE_PARTS = 10;
+/** Least pace that is reckoned with, bytes a second: a quorum that stalls. */
+const LEAST_PACE = 100_000;
+/** Least and longest time after which a refused asker should come back, ms. */
+const COME_BACK_MILLISECONDS = { least: 200, longest: 2_000 };
+
+/** What waits at the moment of a decision. */
+export interface WaitingEntries {
+  /** Cost of the entries without a quorum, as {@linkcode findCost} has it. */
+  readonly cost: number;
+  /** When the oldest of them was proposed; Infinity if there is none. */
+  readonly oldestAt: number;
+}
+
+/**
+ * What an entry costs to replicate, in bytes.
+ *
+ * @example
+ * ```ts
+ * findCost(200); // 1200
+ * ```
+ */
+export function findCost(payloadBytes: number): number {
+  return payloadBytes + ENTRY_BYTES;
+}
+
+/**
+ * Lets commands in for as long as they can be decided in time.
+ *
+ * @example
+ * ```ts
+ * const gate = new ProposalGate();
+ * gate.noteCommitted(500_000, 0);
+ * gate.judge("start", { cost: 10_000, oldestAt: 0 }, 5); // undefined: let it in
+ * gate.judge("start", { cost: 900_000, oldestAt: 0 }, 5); // 900: come back then
+ * ```
+ */
+export class ProposalGate {
+  /** Cost of the commits of the last parts of the pace's time, by part. */
+  readonly #commits = new Map<number, number>();
+
+  /** Counts the cost of entries that a quorum has. */
+  noteCommitted(cost: number, now: number): void {
+    const part = findPart(now);
+    this.#commits.set(part, (this.#commits.get(part) ?? 0) + cost);
+    for (const known of this.#commits.keys()) {
+      if (known <= part - PACE_PARTS) this.#commits.delete(known);
+    }
+  }
+
+  /**
+   * Decides on one command.
+   *
+   * @returns undefined if it may come in, or the time after which its asker
+   * should come back, ms
+   */
+  judge(
+    urgency: Urgency,
+    waiting: WaitingEntries,
+    now: number,
+  ): number | undefined {
+    if (waiting.cost < ALWAYS_BYTES) return undefined;
+    const expected = this.findWait(waiting, now);
+    if (expected <= LONGEST_WAIT_MILLISECONDS[urgency]) return undefined;
+    const { least, longest } = COME_BACK_MILLISECONDS;
+    return Math.round(Math.min(longest, Math.max(least, expected)));
+  }
+
+  /** Time until an entry that came now would have a quorum, ms. */
+  findWait(waiting: WaitingEntries, now: number): number {
+    const age = Math.max(0, now - waiting.oldestAt);
+    const queue = waiting.cost * 1_000 / this.#findPace(now);
+    return Math.max(age, queue);
+  }
+
+  /** Cost that got a quorum in the last while, bytes a second. */
+  #findPace(now: number): number {
+    const oldest = findPart(now) - PACE_PARTS;
+    let committed = 0;
+    for (const [part, cost] of this.#commits) {
+      if (part > oldest) committed += cost;
+    }
+    return Math.max(LEAST_PACE, committed * 1_000 / PACE_MILLISECONDS);
+  }
+}
+
+function findPart(now: number): number {
+  return Math.floor(now * PACE_PARTS / PACE_MILLISECONDS);
+}
--- /dev/null
+++ b/packages/consensus/src/group/proposal_gate_test.ts
@@ -0,0 +1,125 @@
+import { test } from "tap";
+import {
+  findCost,
+  ProposalGate,
+  URGENCIES,
+  type Urgency,
+} from "./proposal_gate.ts";
+
+/** What each entry of these tests costs. */
+const COST = findCost(100);
+
+/** A leader in steps of 10 ms, with commands that come and commits that go. */
+class Leader {
+  readonly gate = new ProposalGate();
+  readonly #waiting: number[] = [];
+  /** Longest time that a command of each urgency waited, ms. */
+  readonly longest: Record<Urgency, number> = {
+    finish: 0,
+    continue: 0,
+    start: 0,
+  };
+  readonly refused: Record<Urgency, number> = {
+    finish: 0,
+    continue: 0,
+    start: 0,
+  };
+  readonly #urgencies: Urgency[] = [];
+
+  get waiting(): number {
+    return this.#waiting.length;
+  }
+
+  ask(urgency: Urgency, now: number): number | undefined {
+    const oldestAt = this.#waiting[0] ?? Infinity;
+    const state = { cost: this.#waiting.length * COST, oldestAt };
+    const refusal = this.gate.judge(urgency, state, now);
+    if (refusal !== undefined) {
+      this.refused[urgency]++;
+      return refusal;
+    }
+    this.#waiting.push(now);
+    this.#urgencies.push(urgency);
+    return undefined;
+  }
+
+  commit(most: number, now: number): void {
+    const count = Math.min(most, this.#waiting.length);
+    const done = this.#waiting.splice(0, count);
+    const urgencies = this.#urgencies.splice(0, count);
+    for (const [index, at] of done.entries()) {
+      const urgency = urgencies[index] ?? URGENCIES.FINISH;
+      this.longest[urgency] = Math.max(this.longest[urgency], now - at);
+    }
+    this.gate.noteCommitted(count * COST, now);
+  }
+}
+
+function askMany(
+  leader: Leader,
+  urgency: Urgency,
+  plan: { readonly count: number; readonly now: number },
+): void {
+  for (let asked = 0; asked < plan.count; asked++) {
+    leader.ask(urgency, plan.now);
+  }
+}
+
+test("below its limit a leader refuses nothing", (t) => {
+  const leader = new Leader();
+  for (let now = 0; now < 5_000; now += 10) {
+    askMany(leader, URGENCIES.START, { count: 9, now });
+    leader.commit(10, now + 10);
+  }
+  t.equal(leader.refused.start, 0);
+  t.end();
+});
+
+test("what is let in is decided while its asker waits, under five times the load", (t) => {
+  const leader = new Leader();
+  for (let now = 0; now < 10_000; now += 10) {
+    askMany(leader, URGENCIES.START, { count: 30, now });
+    askMany(leader, URGENCIES.CONTINUE, { count: 20, now });
+    leader.commit(10, now + 10);
+  }
+  t.ok(leader.longest.continue < 400, `${leader.longest.continue} ms`);
+  t.ok(leader.longest.start < 400, `${leader.longest.start} ms`);
+  t.ok(leader.refused.start > 0.9 * 30_000, "new work yields first");
+  for (let now = 10_000; now < 10_400; now += 10) leader.commit(10, now);
+  t.equal(leader.ask(URGENCIES.START, 10_400), undefined, "back at once");
+  t.end();
+});
+
+test("a leader that all ask at once takes no more than it can decide", (t) => {
+  const leader = new Leader();
+  askMany(leader, URGENCIES.CONTINUE, { count: 5_000, now: 0 });
+  t.ok(leader.waiting < 100, `${leader.waiting} let in`);
+  t.end();
+});
+
+test("a quorum that stalls lets a few wait, and what ends work always", (t) => {
+  const leader = new Leader();
+  for (let now = 0; now < 1_000; now += 10) {
+    askMany(leader, URGENCIES.CONTINUE, { count: 10, now });
+    leader.commit(10, now + 10);
+  }
+  for (let now = 1_000; now < 3_000; now += 10) {
+    askMany(leader, URGENCIES.CONTINUE, { count: 10, now });
+  }
+  t.ok(leader.waiting < 320, `${leader.waiting} let in`);
+  t.equal(leader.ask(URGENCIES.FINISH, 3_000), undefined);
+  const refusal = leader.ask(URGENCIES.START, 3_000) ?? 0;
+  t.ok(refusal >= 200 && refusal <= 2_000, `come back in ${refusal} ms`);
+  t.end();
+});
+
+test("large entries count for what they cost", (t) => {
+  const gate = new ProposalGate();
+  gate.noteCommitted(200_000, 0);
+  const now = 10;
+  const waiting = (cost: number) => ({ cost, oldestAt: now });
+  t.equal(gate.judge(URGENCIES.CONTINUE, waiting(100_000), now), undefined);
+  t.equal(gate.judge(URGENCIES.START, waiting(100_000), now), 250);
+  t.equal(gate.judge(URGENCIES.CONTINUE, waiting(200_000), now), 500);
+  t.end();
+});
--- a/packages/consensus/src/group/replicated_group.ts
+++ b/packages/consensus/src/group/replicated_group.ts
@@ -36,6 +36,7 @@
 } from "./group_report.ts";
 import { IncomingSnapshot } from "./incoming_snapshot.ts";
 import { Leadership } from "./leadership.ts";
+import { ProposalGate, URGENCIES, type Urgency } from "./proposal_gate.ts";
 import { encodeMembers, type Membership } from "./membership.ts";
 
 const HANDOVER_MILLISECONDS = 2_000;
@@ -44,6 +45,17 @@
 /** Most of the pause between elections that nobody wins, ms: some rounds of votes. */
 const OVERDUE_PAUSE_MILLISECONDS = 300;
 
+/** How a command is proposed. */
+export interface ProposalOptions {
+  /**
+   * Names what is asked for: while it is under way, the same again waits for
+   * the same entry.
+   */
+  readonly key?: string;
+  /** FINISH unless given. */
+  readonly urgency?: Urgency;
+}
+
 /** Replicates commands; see docs/ARCHITECTURE.md for the rules it keeps. */
 export class ReplicatedGroup {
   readonly group: number;
@@ -53,6 +65,9 @@
   readonly #incoming = new IncomingSnapshot();
   readonly #stopped = new AbortController();
   readonly #report: GroupReport;
+  readonly #gate = new ProposalGate();
+  /** Commands under way by the key that they were proposed with. */
+  readonly #underWay = new Map<string, Promise<Outcome<Applied>>>();
   #term: number;
   #votedFor: string;
   #leader = "";
@@ -142,11 +157,33 @@
 
   /**
    * Replicates a command and returns what the state machine made of it.
-   * After LEADERSHIP_LOST the command may or may not be committed.
+   * After LEADERSHIP_LOST the command may or may not be committed; after
+   * STORES_BUSY it never will be.
+   *
+   * @example
+   * ```ts
+   * await group.propose(command, { key: "turn-7", urgency: URGENCIES.START });
+   * ```
    */
-  async propose(command: unknown): Promise<Outcome<Applied>> {
+  async propose(
+    command: unknown,
+    options: ProposalOptions = {},
+  ): Promise<Outcome<Applied>> {
     if (!this.#announced || this.#handingOver) return this.#refuse();
-    return await this.#append(ENTRY_KINDS.COMMAND, encodePayload(command));
+    const { key, urgency = URGENCIES.FINISH } = options;
+    const known = key === undefined ? undefined : this.#underWay.get(key);
+    // Asking again must not make the log longer, or a leader that is slower
+    // than its askers wait gets slower still.
+    if (known !== undefined) return await known;
+    const now = performance.now();
+    const comeBack = this.#gate.judge(urgency, this.#applier.waiting, now);
+    if (comeBack !== undefined) return this.#refuseForLoad(comeBack);
+    const proposed = this.#append(ENTRY_KINDS.COMMAND, encodePayload(command));
+    if (key === undefined) return await proposed;
+    this.#underWay.set(key, proposed);
+    const outcome = await proposed;
+    this.#underWay.delete(key);
+    return outcome;
   }
 
   /** Confirms with a quorum that this replica still leads. */
@@ -326,6 +363,14 @@
     );
   }
 
+  #refuseForLoad(comeBackMilliseconds: number) {
+    return fail(
+      RESULT_CODES.STORES_BUSY,
+      RESULT_CODES.STORES_BUSY.meaning,
+      comeBackMilliseconds,
+    );
+  }
+
   #isForMe(incarnation: string): boolean {
     return incarnation === this.#options.identity.incarnation;
   }
@@ -440,7 +485,7 @@
       membership: this.#store.membership,
       getSyncedIndex: () => this.#store.syncedIndex,
       getCommitIndex: () => this.#applier.commitIndex,
-      onCommit: (index) => this.#applier.commitUntil(index),
+      onCommit: (index) => this.#commit(index),
       onHigherTerm: (term) => this.#adoptTerm(term),
     });
     this.#leadership = leadership;
@@ -452,6 +497,13 @@
     void this.#announce(leadership);
   }
 
+  #commit(index: number): void {
+    const before = this.#applier.waiting.cost;
+    this.#applier.commitUntil(index);
+    const committed = before - this.#applier.waiting.cost;
+    if (committed > 0) this.#gate.noteCommitted(committed, performance.now());
+  }
+
   async #announce(leadership: Leadership): Promise<void> {
     // The state is only up to date once an entry of the own term is applied.
     const applied = await this.#append(ENTRY_KINDS.NOOP, Buffer.alloc(0));
@@ -513,7 +565,7 @@
     const index = this.#store.log.lastIndex + 1;
     const entry = { index, term: leadership.term, kind, payload };
     const startedAt = performance.now();
-    const applied = this.#applier.waitFor(entry);
+    const applied = this.#applier.waitFor(entry, startedAt);
     const synced = this.#store.appendOwn(entry);
     leadership.wake();
     // A quorum of the others is enough: a stalled disk of the leader holds
--- a/packages/core/src/result/result_codes.ts
+++ b/packages/core/src/result/result_codes.ts
@@ -179,6 +179,11 @@
     notRun: true,
     meaning: "The gateway holds as many requests as it may.",
   }),
+  STORES_BUSY: defineCode(2015, "STORES_BUSY", {
+    httpStatus: 503,
+    notRun: true,
+    meaning: "The leader could not decide the command in time.",
+  }),
   OUTCOME_UNKNOWN: defineCode(3001, "OUTCOME_UNKNOWN", {
     httpStatus: 502,
     notRun: false,
--- a/packages/gateway/src/calls/run_turn.ts
+++ b/packages/gateway/src/calls/run_turn.ts
@@ -5,6 +5,7 @@
 import {
   type BeginTurn,
   type CodedError,
+  countRefusal,
   type EndTurn,
   type KeptTurn,
   type Outcome,
@@ -135,6 +136,9 @@
   const isFinal = code === RESULT_CODES.TURN_NOT_FOUND ||
     code === RESULT_CODES.BUDGET_EXCEEDED;
   if (isFinal) return failCall(call, parts, { error, notRun: true });
+  if (code === RESULT_CODES.STORES_BUSY) {
+    return refuseForLoad(call, parts, error);
+  }
   // The reserve may have been made although nobody said so.
   settleTurn(call, parts, { events: 0 });
   parts.logger.info("Turn refused", {
@@ -154,6 +158,27 @@
   });
 }
 
+/**
+ * Nothing was reserved, so there is nothing to settle: a refusal costs the
+ * leader no entry. Callers come back spread over as long again as they wait,
+ * or they would all ask in the same moment.
+ */
+function refuseForLoad(
+  call: OpenCall,
+  parts: TurnParts,
+  error: CodedError,
+): void {
+  const pause = error.retryAfterMilliseconds ?? NO_LEADER_MILLISECONDS;
+  countRefusal(parts.metrics, "turns", error.code);
+  failCall(call, parts, {
+    error: {
+      ...error,
+      retryAfterMilliseconds: Math.round(pause * (1 + parts.random())),
+    },
+    notRun: true,
+  });
+}
+
 /** Keeps the turn before its caller sees the end of the answer. */
 async function endTurn(
   call: OpenCall,
--- a/packages/gateway/src/site/site_client.ts
+++ b/packages/gateway/src/site/site_client.ts
@@ -23,6 +23,13 @@
   "UNKNOWN_METHOD",
 ]);
 
+/** Failures after which the leader may have done what it was asked. */
+const UNCERTAIN: ReadonlySet<string> = new Set([
+  "CONNECTION_LOST",
+  "LEADERSHIP_LOST",
+  "TIMEOUT",
+]);
+
 /** What the client works with. */
 export interface SiteClientOptions {
   readonly directory: Directory;
@@ -88,6 +95,7 @@
     waitMilliseconds: number,
   ): Promise<Outcome<InternalHandlers[N]["reply"]>> {
     const until = performance.now() + waitMilliseconds;
+    let isUncertain = false;
     let outcome: Outcome<InternalHandlers[N]["reply"]> = fail(
       RESULT_CODES.NO_LEADER,
       "No leader of the stores is known",
@@ -100,7 +108,14 @@
           request,
           timeoutMilliseconds: Math.min(left, this.#options.callMilliseconds),
         });
-        if (outcome.ok || !TRY_AGAIN.has(outcome.val.code.name)) return outcome;
+        if (outcome.ok) return outcome;
+        const { code, message, retryAfterMilliseconds } = outcome.val;
+        if (code === RESULT_CODES.STORES_BUSY && isUncertain) {
+          // An earlier try may have been decided, so "not run" is not certain.
+          return fail(RESULT_CODES.TIMEOUT, message, retryAfterMilliseconds);
+        }
+        if (!TRY_AGAIN.has(code.name)) return outcome;
+        isUncertain ||= UNCERTAIN.has(code.name);
         if (this.#leader === leader) this.#leader = undefined;
       }
       const rest = until - performance.now();
--- a/packages/sessions/src/budgets.ts
+++ b/packages/sessions/src/budgets.ts
@@ -74,6 +74,23 @@
     program.spent += tokens;
   }
 
+  /** True if a program has begun a turn. */
+  has(programId: string): boolean {
+    return this.#programs.has(programId);
+  }
+
+  /** True if a turn has its reserve, or had it. */
+  hasReserved(programId: string, turnId: string): boolean {
+    const program = this.#programs.get(programId);
+    return program !== undefined &&
+      (program.reserved.has(turnId) || program.settled.has(turnId));
+  }
+
+  /** True if the reserve of a turn was settled. */
+  hasSettled(programId: string, turnId: string): boolean {
+    return this.#programs.get(programId)?.settled.has(turnId) === true;
+  }
+
   /** What a program has used; nothing if it is not known. */
   describe(programId: string): BudgetUse {
     const program = this.#programs.get(programId);
--- a/packages/sessions/src/site_state.ts
+++ b/packages/sessions/src/site_state.ts
@@ -61,6 +61,22 @@
     return { code: this.#run(command as SiteCommand) };
   }
 
+  /**
+   * True if a command has been applied, so that it would change nothing: only
+   * where that is certain from what is kept.
+   */
+  isDecided(command: SiteCommand): boolean {
+    if (command.kind !== "begin" && command.kind !== "end") return false;
+    const { programId, turnId } = command;
+    if (programId === "") return false;
+    if (command.kind === "begin") {
+      return this.budgets.hasReserved(programId, turnId);
+    }
+    return this.budgets.hasSettled(programId, turnId) &&
+      (!command.whole || command.retentionMilliseconds === 0 ||
+        this.turns.has(turnId));
+  }
+
   /** Serializes everything; inputs and outputs of turns are not copied. */
   takeSnapshot(): readonly Uint8Array[] {
     return encodeSiteSnapshot({
--- a/packages/store/src/site_owner.ts
+++ b/packages/store/src/site_owner.ts
@@ -1,12 +1,15 @@
 /** Answers gateways while this store leads. */
 
 import { performance } from "node:perf_hooks";
-import type {
-  LeadershipListener,
-  ReplicatedGroup,
+import {
+  type LeadershipListener,
+  type ReplicatedGroup,
+  URGENCIES,
+  type Urgency,
 } from "@mallowlift/consensus";
 import {
   type BeginTurn,
+  countRefusal,
   type DocumentAck,
   type DocumentSource,
   type EndTurn,
@@ -50,6 +53,11 @@
  */
 const REFUSAL_SPAN_MILLISECONDS = 10_000;
 
+/** Answer to an asker that is gone; nobody reads it. */
+const CANCELLED = fail(RESULT_CODES.CANCELLED, "The asker has given up");
+/** Outcome of a command that was decided before. */
+const DECIDED: SiteResult = { code: "OK" };
+
 type Nothing = Record<string, never>;
 
 /** The leader's side of the site. */
@@ -267,9 +275,18 @@
     command: SiteCommand,
     signal: AbortSignal,
   ): Promise<Outcome<SiteResult>> {
+    // The asker's word that it has given up may have come in the same packet.
+    await Promise.resolve();
+    if (signal.aborted) return CANCELLED;
     const group = this.#options.getGroup();
     if (group === undefined) return this.#refuse();
-    const applied = await this.#watch(command, signal, group.propose(command));
+    const { state } = this.#options;
+    // Whoever asks again after a lost answer needs no further entry.
+    if (group.isLeading && state.isDecided(command)) return Ok(DECIDED);
+    const key = describeCommand(command);
+    const urgency = findUrgency(command, state);
+    const proposed = group.propose(command, { key, urgency });
+    const applied = await this.#watch(command, signal, proposed);
     if (applied.err) return applied;
     const result = applied.val.result as SiteResult;
     if (result.code === "OK") return Ok(result);
@@ -281,8 +298,8 @@
   async #watch<T>(
     command: SiteCommand,
     signal: AbortSignal,
-    proposed: Promise<T>,
-  ): Promise<T> {
+    proposed: Promise<Outcome<T>>,
+  ): Promise<Outcome<T>> {
     const key = describeCommand(command);
     const startedAt = performance.now();
     const isRepeated = this.#underWay.has(key);
@@ -290,6 +307,9 @@
     const outcome = await proposed;
     if (!isRepeated) this.#underWay.delete(key);
     const now = performance.now();
+    if (outcome.err && outcome.val.code === RESULT_CODES.STORES_BUSY) {
+      countRefusal(this.#options.metrics, "owner", outcome.val.code);
+    }
     this.#report.note({
       kind: command.kind,
       milliseconds: now - startedAt,
@@ -319,3 +339,14 @@
   }
   return command.kind === "retire" ? `retire ${command.name}` : "read";
 }
+
+/**
+ * New programs yield to those under way, and these to what ends a turn: a
+ * program that is refused at its start has cost nothing yet.
+ */
+function findUrgency(command: SiteCommand, state: SiteState): Urgency {
+  if (command.kind !== "begin") return URGENCIES.FINISH;
+  const isUnderWay = command.previousId !== "" ||
+    state.budgets.has(command.programId);
+  return isUnderWay ? URGENCIES.CONTINUE : URGENCIES.START;
+}
