Entries of the instance list are checked one by one, and each life has an id

Cause: the bytes of the list were taken for their type, so an entry without an address put a nameless upstream in force and one that is no object ended the reading; an upstream that starts again under its id kept health and prompts of before. Change: entries are checked against a schema, strange ones are left out with a counter by reason and one line a minute; where the start is told, the id of an instance stands for one life, so that all that is remembered by it ends there.

--- a/packages/core/src/metrics/metrics.ts
+++ b/packages/core/src/metrics/metrics.ts
@@ -52,6 +52,7 @@
   readonly queued: Gauge;
   readonly cachedTokens: Counter;
   readonly promptTokens: Counter;
+  readonly strangeInstances: Counter<"reason">;
   readonly malformedFrames: Counter<"reason">;
   readonly stoodStillSeconds: Counter;
   readonly peerBytes: Counter<"direction">;
@@ -177,6 +178,12 @@
       help: "Time in which the process did not run although it was due",
       registers,
     }),
+    strangeInstances: new Counter({
+      name: "mallowlift_strange_instances_total",
+      help: "Entries of the instance list left out, by what is wrong with them",
+      labelNames: ["reason"],
+      registers,
+    }),
     malformedFrames: new Counter({
       name: "mallowlift_malformed_frames_total",
       help: "Internal connections closed for what was sent on them",
--- a/packages/core/src/types/routing.ts
+++ b/packages/core/src/types/routing.ts
@@ -79,6 +79,13 @@
 export interface UpstreamInstance {
   /** New at each start of the upstream. */
   readonly id: string;
+  /**
+   * Id that the upstream itself goes by, which it may keep over a start; the
+   * same as `id` if missing.
+   */
+  readonly ownId?: string;
+  /** When the upstream started, by its own clock, Unix ms; if it is told. */
+  readonly bornAt?: number;
   readonly service: string;
   readonly address: string;
   readonly failureDomain: string;
--- a/packages/gateway/src/calls/run_attempt_at.ts
+++ b/packages/gateway/src/calls/run_attempt_at.ts
@@ -64,7 +64,7 @@
       headers: addLastEvent(
         parts.dialect.writeAttempt(head.headers, {
           remainingMilliseconds: Math.max(1, Math.floor(left)),
-          instanceId: upstream.instance.id,
+          instanceId: upstream.instance.ownId ?? upstream.instance.id,
           priority: route.priority,
           rank: parts.urgency.rank(route.name, facts.finishMilliseconds),
         }),
--- a/packages/store/src/instance_reader.ts
+++ b/packages/store/src/instance_reader.ts
@@ -6,19 +6,26 @@
   hashText,
   type InstanceList,
   type Logger,
+  type Metrics,
+  RepeatLimit,
   sleep,
   type UpstreamInstance,
 } from "@mallowlift/core";
 import type { InstanceSource } from "./instance_source.ts";
+import { keepLaterLives } from "./read_instance.ts";
 
 /** Longest time that one read may take, ms: a slow platform must not stop the next. */
 const READ_MILLISECONDS = 1_500;
 
+/** Least time between two lines on entries that are strange in the same way, ms. */
+const STRANGE_SPAN_MILLISECONDS = 60_000;
+
 /** What the reader works with. */
 export interface InstanceReaderOptions {
   readonly source: InstanceSource;
   readonly intervalMilliseconds: number;
   readonly logger: Logger;
+  readonly metrics: Metrics;
   /** Called when the list has changed. */
   readonly onChange: () => void;
 }
@@ -26,6 +33,7 @@
 /** The one reader of the site. */
 export class InstanceReader {
   readonly #options: InstanceReaderOptions;
+  readonly #strange = new RepeatLimit(STRANGE_SPAN_MILLISECONDS);
   #stopped: AbortController | undefined;
   #list: InstanceList | undefined;
   #readAt = 0;
@@ -65,6 +73,7 @@
       const startedAt = performance.now();
       const read = await this.#options.source.read(
         AbortSignal.any([signal, AbortSignal.timeout(READ_MILLISECONDS)]),
+        (reason) => this.#noteStrange(reason, startedAt),
       );
       if (signal.aborted) return;
       if (read.ok) this.#take(read.val, startedAt);
@@ -75,8 +84,9 @@
     }
   }
 
-  #take(instances: readonly UpstreamInstance[], readAt: number): void {
+  #take(read: readonly UpstreamInstance[], readAt: number): void {
     this.#readAt = readAt;
+    const instances = keepLaterLives(read, this.#list?.instances ?? []);
     const revision = hashText(JSON.stringify(instances));
     if (revision === this.#list?.revision) return;
     this.#list = { revision, instances };
@@ -88,6 +98,15 @@
     this.#options.onChange();
   }
 
+  /** A strange entry comes with every reading, and gets a line once in a while. */
+  #noteStrange(reason: string, now: number): void {
+    const { metrics, logger } = this.#options;
+    metrics.strangeInstances.inc({ reason });
+    const repeats = this.#strange.take(reason, now);
+    if (repeats === undefined) return;
+    logger.warn("Instance entry left out", { reason, repeats });
+  }
+
   #noteFailure(message: string): void {
     const isFailing = message !== "";
     if (isFailing === this.#isFailing) return;
--- a/packages/store/src/instance_source.ts
+++ b/packages/store/src/instance_source.ts
@@ -3,15 +3,24 @@
 import { readFile } from "node:fs/promises";
 import {
   describeThrown,
+  fail,
   type Outcome,
+  RESULT_CODES,
   type UpstreamInstance,
 } from "@mallowlift/core";
 import { Err, Ok } from "ts-results";
+import { readInstances } from "./read_instance.ts";
 
 /** Reads the whole list of instances. */
 export interface InstanceSource {
-  /** Reads the list; fails if any part of it could not be read. */
-  read(signal: AbortSignal): Promise<Outcome<readonly UpstreamInstance[]>>;
+  /**
+   * Reads the list; fails if any part of it could not be read. An entry that
+   * names no usable instance is left out, and told with the reason.
+   */
+  read(
+    signal: AbortSignal,
+    onStrange: (reason: string) => void,
+  ): Promise<Outcome<readonly UpstreamInstance[]>>;
 }
 
 /** Makes the source for an address of the settings. */
@@ -26,10 +35,16 @@
   }
 
   /** Reads the file. */
-  async read(): Promise<Outcome<readonly UpstreamInstance[]>> {
+  async read(
+    _signal: AbortSignal,
+    onStrange: (reason: string) => void,
+  ): Promise<Outcome<readonly UpstreamInstance[]>> {
     try {
-      const text = await readFile(this.#path, "utf8");
-      return Ok(JSON.parse(text) as readonly UpstreamInstance[]);
+      const entries: unknown = JSON.parse(await readFile(this.#path, "utf8"));
+      if (!Array.isArray(entries)) {
+        return fail(RESULT_CODES.INVALID_FIELD, "The file holds no list");
+      }
+      return Ok(readInstances(entries, onStrange));
     } catch (thrown) {
       return Err(describeThrown(thrown));
     }
--- a/packages/store/src/store_role.ts
+++ b/packages/store/src/store_role.ts
@@ -61,6 +61,7 @@
         source: options.createSource(store.listAddress),
         intervalMilliseconds: store.listMilliseconds,
         logger: logger.forPart("instances"),
+        metrics,
         onChange: () => changed.wake(),
       }),
       logger: logger.forPart("owner"),
