--- a/packages/consensus/src/group/applier.ts
+++ b/packages/consensus/src/group/applier.ts
@@ -20,6 +20,12 @@
 /** Least part of the entries of the settings after which a snapshot is taken. */
 const LEAST_SNAPSHOT_SHARE = 0.5;
 
+/**
+ * Part of the entries of the settings that are kept beyond a snapshot for
+ * members that lack them: it bounds the memory for one that stays behind.
+ */
+const KEPT_SHARE = 0.5;
+
 /** A committed command and what the state machine made of it. */
 export interface Applied {
   readonly index: number;
@@ -45,6 +51,9 @@
   #waitingCost = 0;
   #snapshotting = false;
   #snapshotShare = chooseSnapshotShare();
+  #snapshotIndex: number;
+  /** Last entry that no member lacks; set by the group, which knows while it leads. */
+  getWantedIndex: () => number = () => Infinity;
 
   constructor(options: GroupOptions, store: EntryStore) {
     const { snapshot } = options.folder.getStored(options.group);
@@ -52,6 +61,7 @@
     this.#store = store;
     this.#commitIndex = snapshot?.lastIndex ?? 0;
     this.#appliedIndex = this.#commitIndex;
+    this.#snapshotIndex = this.#commitIndex;
     options.stateMachine.restore(snapshot?.state ?? new Uint8Array());
   }
 
@@ -119,6 +129,7 @@
     this.#options.stateMachine.restore(state);
     this.#commitIndex = lastIndex;
     this.#appliedIndex = lastIndex;
+    this.#snapshotIndex = lastIndex;
     this.#options.logger.info("Snapshot installed", {
       group: snapshot.group,
       lastIndex,
@@ -141,10 +152,22 @@
     );
   }
 
+  /**
+   * Drops what the last snapshot covers, but for what members that are there
+   * still lack: sent their entries they are up to date in a second or two,
+   * where a whole state for each of them fills the leader's way for many.
+   */
+  #dropEntries(): void {
+    const most = KEPT_SHARE * this.#options.timing.snapshotEntries;
+    const oldest = Math.floor(this.#snapshotIndex - most);
+    const wanted = Math.min(this.#snapshotIndex, this.getWantedIndex());
+    this.#store.log.dropUntil(Math.max(oldest, wanted));
+  }
+
   async #snapshotIfDue(): Promise<void> {
     const { log, membership } = this.#store;
     const { timing, folder, stateMachine, group } = this.#options;
-    const pending = this.#appliedIndex - log.baseIndex;
+    const pending = this.#appliedIndex - this.#snapshotIndex;
     const due = timing.snapshotEntries * this.#snapshotShare;
     if (pending < due || this.#snapshotting) return;
     this.#snapshotting = true;
@@ -158,7 +181,8 @@
       members: membership.findAt(lastIndex),
       parts: stateMachine.takeSnapshot(),
     });
-    log.dropUntil(lastIndex);
+    this.#snapshotIndex = lastIndex;
+    this.#dropEntries();
     this.#snapshotting = false;
     this.#options.logger.info("Snapshot taken", {
       group,
--- a/packages/consensus/src/group/group_log.ts
+++ b/packages/consensus/src/group/group_log.ts
@@ -72,7 +72,10 @@
     return entries;
   }
 
-  /** Drops entries up to an index that a snapshot covers. */
+  /**
+   * Drops entries up to an index that a snapshot covers; a member that lacks
+   * any of them is sent the whole snapshot instead.
+   */
   dropUntil(index: number): void {
     const term = this.findTerm(index);
     if (term === undefined || index <= this.#baseIndex) return;
--- a/packages/consensus/src/group/leadership.ts
+++ b/packages/consensus/src/group/leadership.ts
@@ -65,6 +65,8 @@
   #peers: readonly PeerProgress[] = [];
   readonly #work = new WakeSignal();
   readonly #acked = new WakeSignal();
+  /** Ends when no member is being sent a snapshot. */
+  #snapshotTurn: Promise<void> = Promise.resolve();
   #confirmAt = -Infinity;
   #over = false;
 
@@ -187,6 +189,16 @@
     return lag;
   }
 
+  /** Last entry that every member has that was heard lately. */
+  findWantedIndex(now: number): number {
+    const since = now - this.#parts.options.timing.standbyMilliseconds;
+    let index = Infinity;
+    for (const peer of this.#peers) {
+      if (peer.heardAt >= since) index = Math.min(index, peer.matchIndex);
+    }
+    return index;
+  }
+
   /** Every other member as this leader sees it, for logs. */
   viewMembers(now: number): readonly MemberView[] {
     const { log, options } = this.#parts;
@@ -359,7 +371,23 @@
     this.advanceCommit();
   }
 
+  /**
+   * Sends snapshots to one member at a time: several at once would each take
+   * several times as long, and the entries of the others wait behind them.
+   */
   async #sendSnapshot(peer: PeerProgress, caller: Caller): Promise<void> {
+    const turn = this.#snapshotTurn.then(() =>
+      this.#sendSnapshotNow(peer, caller)
+    );
+    this.#snapshotTurn = turn.catch(() => undefined);
+    // A member that waits for its turn must still hear its leader.
+    peer.isBusy = true;
+    await turn;
+    peer.isBusy = false;
+  }
+
+  async #sendSnapshotNow(peer: PeerProgress, caller: Caller): Promise<void> {
+    if (this.#over || peer.removed) return;
     const { options } = this.#parts;
     const snapshot = await options.folder.snapshots.open(options.group);
     if (snapshot === undefined) return await sleep(RETRY_MILLISECONDS);
--- a/packages/consensus/src/group/message_size.ts
+++ b/packages/consensus/src/group/message_size.ts
@@ -7,13 +7,17 @@
  * after one has left waits for it and for its own: both grow with the message.
  *
  * What it buys: on ways of 400 kB a second messages shrink from 330 ms each to
- * some 80 ms, reckoned from bytes and pace.
+ * some 160 ms, reckoned from bytes and pace.
  */
 
-/** Time that a message should take at most, ms: a third of an election timeout. */
-const LONGEST_MESSAGE_MILLISECONDS = 100;
+/**
+ * Time that a message should take at most, ms: two thirds of an election
+ * timeout. A leader short of processor time is late by less than that, and
+ * more, smaller messages would make it later.
+ */
+const LONGEST_MESSAGE_MILLISECONDS = 200;
 /** Least bytes of a message: below that its own cost counts for more. */
-export const LEAST_MESSAGE_BYTES = 8_192;
+export const LEAST_MESSAGE_BYTES = 16_384;
 /**
  * Most bytes of a message: some 10 ms of a link of 100 Mbit/s, so that
  * heartbeats to all members get through between the messages.
--- a/packages/consensus/src/group/replicated_group.ts
+++ b/packages/consensus/src/group/replicated_group.ts
@@ -74,6 +74,8 @@
     this.#store = new EntryStore(stored, options.folder);
     this.#store.onMembership = (now) => this.#leadership?.followMembership(now);
     this.#applier = new Applier(options, this.#store);
+    this.#applier.getWantedIndex = () =>
+      this.#leadership?.findWantedIndex(performance.now()) ?? Infinity;
   }
 
   /**
@@ -145,7 +147,7 @@
   /**
    * Replicates a command and returns what the state machine made of it.
    * After LEADERSHIP_LOST the command may or may not be committed; after
-   * STORES_BUSY it never will be.
+   * LEADER_BUSY it never will be.
    *
    * @example
    * ```ts
@@ -342,8 +344,8 @@
 
   #refuseForLoad(comeBackMilliseconds: number) {
     return fail(
-      RESULT_CODES.STORES_BUSY,
-      RESULT_CODES.STORES_BUSY.meaning,
+      RESULT_CODES.LEADER_BUSY,
+      RESULT_CODES.LEADER_BUSY.meaning,
       comeBackMilliseconds,
     );
   }
--- a/packages/core/src/result/result_codes.ts
+++ b/packages/core/src/result/result_codes.ts
@@ -179,7 +179,7 @@
     notRun: true,
     meaning: "The gateway holds as many requests as it may.",
   }),
-  STORES_BUSY: defineCode(2015, "STORES_BUSY", {
+  LEADER_BUSY: defineCode(2015, "LEADER_BUSY", {
     httpStatus: 503,
     notRun: true,
     meaning: "The leader could not decide the command in time.",
--- a/packages/gateway/src/calls/run_turn.ts
+++ b/packages/gateway/src/calls/run_turn.ts
@@ -136,7 +136,7 @@
   const isFinal = code === RESULT_CODES.TURN_NOT_FOUND ||
     code === RESULT_CODES.BUDGET_EXCEEDED;
   if (isFinal) return failCall(call, parts, { error, notRun: true });
-  if (code === RESULT_CODES.STORES_BUSY) {
+  if (code === RESULT_CODES.LEADER_BUSY) {
     return refuseForLoad(call, parts, error);
   }
   // The reserve may have been made although nobody said so.
--- a/packages/gateway/src/site/site_client.ts
+++ b/packages/gateway/src/site/site_client.ts
@@ -123,7 +123,7 @@
         });
         if (outcome.ok) return outcome;
         const { code, message, retryAfterMilliseconds } = outcome.val;
-        if (code === RESULT_CODES.STORES_BUSY && isUncertain) {
+        if (code === RESULT_CODES.LEADER_BUSY && isUncertain) {
           // An earlier try may have been decided, so "not run" is not certain.
           return fail(RESULT_CODES.TIMEOUT, message, retryAfterMilliseconds);
         }
--- a/packages/replica/src/programs/program_owner.ts
+++ b/packages/replica/src/programs/program_owner.ts
@@ -21,9 +21,11 @@
   type RunCallRequest,
   type ToldText,
 } from "@mallowlift/core";
-import type {
-  LeadershipListener,
-  ReplicatedGroup,
+import {
+  type LeadershipListener,
+  type ReplicatedGroup,
+  URGENCIES,
+  type Urgency,
 } from "@mallowlift/consensus";
 import {
   CALL_STATES,
@@ -275,7 +277,7 @@
     if (group === undefined) {
       return fail(RESULT_CODES.NOT_LEADER, "The group has not started");
     }
-    const applied = await group.propose(command);
+    const applied = await group.propose(command, findUrgency(command));
     return applied.ok ? applied.val.result as Outcome<T> : applied;
   }
 
@@ -340,6 +342,16 @@
   }
 }
 
+/**
+ * New programs yield when the group has more waiting than it can decide in
+ * time. A call does not: it may have been sent ahead of its acceptance, and a
+ * refusal would promise that it did not run.
+ */
+function findUrgency(command: ProgramCommand): Urgency {
+  const isNew = command.type === "create_program";
+  return isNew ? URGENCIES.START : URGENCIES.FINISH;
+}
+
 function formatCallKey(
   key: { readonly programId: string; readonly requestId: string },
 ): string {
--- a/packages/store/src/site_owner.ts
+++ b/packages/store/src/site_owner.ts
@@ -303,7 +303,7 @@
   }
 
   #countBusy(): void {
-    countRefusal(this.#options.metrics, "owner", RESULT_CODES.STORES_BUSY);
+    countRefusal(this.#options.metrics, "owner", RESULT_CODES.LEADER_BUSY);
   }
 
   #findTime(): number {
@@ -317,7 +317,7 @@
 }
 
 function isRefusedForLoad(outcome: Outcome<Applied>): boolean {
-  return outcome.err && outcome.val.code === RESULT_CODES.STORES_BUSY;
+  return outcome.err && outcome.val.code === RESULT_CODES.LEADER_BUSY;
 }
 
 /** What two commands have in common if the second asks for the same again. */
