--- a/packages/consensus/src/mocks/list_machine.ts
+++ b/packages/consensus/src/mocks/list_machine.ts
@@ -17,6 +17,8 @@
  */
 export class ListMachine implements StateMachine {
   commands: string[] = [];
+  /** How often a state took the place of the earlier one, the first included. */
+  restores = 0;
   #attempts = new Set<string>();
 
   apply(command: unknown): unknown {
@@ -33,6 +35,7 @@
   }
 
   restore(snapshot: Uint8Array): void {
+    this.restores++;
     const [commands, attempts] = snapshot.length === 0
       ? [[], []]
       : decode(snapshot) as [string[], string[]];
--- a/packages/consensus/src/mocks/test_cluster.ts
+++ b/packages/consensus/src/mocks/test_cluster.ts
@@ -165,6 +165,17 @@
     }
   }
 
+  /** Lets one way take no more than so many bytes a second. */
+  slowWay(source: string, target: string, bytesPerSecond: number): void {
+    const proxy = this.#proxies.get(`${source}>${target}`);
+    if (proxy !== undefined) proxy.faults.bytesPerSecond = bytesPerSecond;
+  }
+
+  /** How often one replica took over a whole state in this life. */
+  countRestores(id: string): number {
+    return this.#nodes.get(id)?.machine.restores ?? 0;
+  }
+
   /** Bytes that one replica has sent to another so far. */
   countBytes(source: string, target: string): number {
     return this.#proxies.get(`${source}>${target}`)?.bytesFromClients ?? 0;
--- a/packages/consensus/src/slow_members_test.ts
+++ b/packages/consensus/src/slow_members_test.ts
@@ -1,4 +1,4 @@
-import { waitAtMost } from "@mallowlift/core";
+import { sleep, waitAtMost } from "@mallowlift/core";
 import { test } from "tap";
 import { createCluster } from "./mocks/create_cluster.ts";
 
@@ -76,3 +76,35 @@
   const isDone = () => IDS.every((id) => cluster.readCommands(id).length === 3);
   await cluster.waitFor("all replicas applied", isDone);
 });
+
+test("a member that lags a little is sent entries, also after a snapshot of the leader", async (t) => {
+  const ids = [...IDS, "s1"];
+  const cluster = createCluster(t, {
+    ids,
+    standbys: ["s1"],
+    snapshotEntries: 1_000,
+  });
+  cluster.electionMilliseconds = 1_000;
+  await cluster.start();
+  await cluster.commit("before");
+  const leader = await cluster.waitForLeader();
+  const hasAll = (id: string, count: number) =>
+    cluster.readCommands(id).length === count;
+  await cluster.waitFor("the spare follows", () => hasAll("s1", 1));
+  const restores = cluster.countRestores("s1");
+  // The spare takes some 300 entries a second of the 500 that are proposed.
+  cluster.slowWay(leader, "s1", 300_000);
+  const filling = "x".repeat(900);
+  const proposing: Promise<unknown>[] = [];
+  for (let number = 0; number < 1_100; number++) {
+    const name = number + filling;
+    proposing.push(cluster.propose(leader, { name, attempt: 1 }));
+    if (number % 10 === 0) await sleep(20);
+  }
+  await Promise.all(proposing);
+  const isTaken = () =>
+    (cluster.getGroup(leader)?.describe(0).snapshotIndex ?? 0) > 0;
+  await cluster.waitFor("the leader has dropped entries", isTaken);
+  await cluster.waitFor("the spare has all", () => hasAll("s1", 1_101));
+  t.equal(cluster.countRestores("s1"), restores, "no whole state was sent");
+});
