--- a/packages/consensus/src/group/group_report.ts
+++ b/packages/consensus/src/group/group_report.ts
@@ -1,6 +1,7 @@
 /** Tells in logs and metrics why leaderships begin and end, and what waits. */
 
 import { type Logger, type Metrics, RepeatLimit } from "@mallowlift/core";
+import type { VoteOutcome } from "./judge_vote.ts";
 
 /** Why a leadership ended. */
 export const LEADERSHIP_ENDS = {
@@ -16,23 +17,6 @@
 export type LeadershipEnd =
   typeof LEADERSHIP_ENDS[keyof typeof LEADERSHIP_ENDS];
 
-/** What became of a vote that was asked for. */
-export const VOTE_OUTCOMES = {
-  GRANTED: "granted",
-  /** Asked in the name of an earlier incarnation. */
-  STRANGER: "an earlier incarnation",
-  /** A leader was heard lately, or this replica leads. */
-  LEADER_HEARD: "a leader was heard",
-  OLD_TERM: "an old term",
-  /** The candidate lacks entries that this replica has. */
-  BEHIND: "the candidate is behind",
-  /** The vote of this term went to somebody else. */
-  GIVEN: "given to another",
-} as const;
-
-/** One of {@linkcode VOTE_OUTCOMES}. */
-export type VoteOutcome = typeof VOTE_OUTCOMES[keyof typeof VOTE_OUTCOMES];
-
 /** One member as the leader sees it. */
 export interface MemberView {
   readonly replicaId: string;
--- a/packages/consensus/src/group/replicated_group.ts
+++ b/packages/consensus/src/group/replicated_group.ts
@@ -30,11 +30,10 @@
   GroupReport,
   LEADERSHIP_ENDS,
   type LeadershipEnd,
-  VOTE_OUTCOMES,
-  type VoteOutcome,
   type WaitingView,
 } from "./group_report.ts";
 import { IncomingSnapshot } from "./incoming_snapshot.ts";
+import { judgeVote, VOTE_OUTCOMES, type Voter } from "./judge_vote.ts";
 import { Leadership } from "./leadership.ts";
 import { ProposalGate, URGENCIES, type Urgency } from "./proposal_gate.ts";
 import { encodeMembers, type Membership } from "./membership.ts";
@@ -209,38 +208,17 @@
   /** Serves a vote request. */
   async handleVote(request: VoteRequest): Promise<Outcome<VoteReply>> {
     const now = performance.now();
-    const outcome = this.#judgeVote(request, now);
-    this.#noteVote(request, outcome, now);
-    if (outcome !== VOTE_OUTCOMES.GRANTED) {
-      return Ok({ term: this.#term, granted: false });
-    }
-    if (request.preVote) return Ok({ term: this.#term, granted: true });
-    this.#votedFor = request.from.replicaId;
-    this.#heardAt = now;
-    await this.#saveVote();
-    return Ok({ term: request.term, granted: this.#term === request.term });
-  }
-
-  /** Decides on a vote; a later term of a true ballot is adopted. */
-  #judgeVote(request: VoteRequest, now: number): VoteOutcome {
-    if (!this.#isForMe(request.toIncarnation)) return VOTE_OUTCOMES.STRANGER;
-    const lease = this.#options.timing.electionMilliseconds;
-    const isHeard = now - this.#heardAt < lease ||
-      this.#leadership !== undefined;
-    if (isHeard && !request.handover) return VOTE_OUTCOMES.LEADER_HEARD;
-    if (request.term < this.#term) return VOTE_OUTCOMES.OLD_TERM;
-    if (!this.#isUpToDate(request)) return VOTE_OUTCOMES.BEHIND;
-    if (request.preVote) return VOTE_OUTCOMES.GRANTED;
-    if (request.term > this.#term) this.#adoptTerm(request.term);
-    const isFree = this.#votedFor === "" ||
-      this.#votedFor === request.from.replicaId;
-    return isFree ? VOTE_OUTCOMES.GRANTED : VOTE_OUTCOMES.GIVEN;
-  }
-
-  #noteVote(request: VoteRequest, outcome: VoteOutcome, now: number): void {
     const { term, preVote, from } = request;
+    const outcome = judgeVote(request, this.#describeVoter(), now);
     const vote = { term, preVote, candidate: from.replicaId };
     this.#report.noteVote(outcome, vote, now);
+    const granted = outcome === VOTE_OUTCOMES.GRANTED;
+    if (!granted || preVote) return Ok({ term: this.#term, granted });
+    this.#adoptTerm(term);
+    this.#votedFor = from.replicaId;
+    this.#heardAt = now;
+    await this.#saveVote();
+    return Ok({ term, granted: this.#term === term });
   }
 
   /** Serves an append request. */
@@ -354,11 +332,17 @@
     return incarnation === this.#options.identity.incarnation;
   }
 
-  #isUpToDate(ballot: Ballot): boolean {
-    if (ballot.lastTerm !== this.#store.log.lastTerm) {
-      return ballot.lastTerm > this.#store.log.lastTerm;
-    }
-    return ballot.lastIndex >= this.#store.log.lastIndex;
+  #describeVoter(): Voter {
+    return {
+      incarnation: this.#options.identity.incarnation,
+      term: this.#term,
+      votedFor: this.#votedFor,
+      isLeading: this.#leadership !== undefined,
+      heardAt: this.#heardAt,
+      leaseMilliseconds: this.#options.timing.electionMilliseconds,
+      lastIndex: this.#store.log.lastIndex,
+      lastTerm: this.#store.log.lastTerm,
+    };
   }
 
   async #runElections(): Promise<void> {
