--- a/packages/consensus/src/group/replicated_group.ts
+++ b/packages/consensus/src/group/replicated_group.ts
@@ -32,13 +32,13 @@
   type LeadershipEnd,
   type WaitingView,
 } from "./group_report.ts";
+import { handOverLeadership } from "./hand_over.ts";
 import { IncomingSnapshot } from "./incoming_snapshot.ts";
 import { judgeVote, VOTE_OUTCOMES, type Voter } from "./judge_vote.ts";
 import { Leadership } from "./leadership.ts";
 import { ProposalGate, URGENCIES, type Urgency } from "./proposal_gate.ts";
 import { encodeMembers, type Membership } from "./membership.ts";
 
-const HANDOVER_MILLISECONDS = 2_000;
 /** Most of the pause before the first election, ms: two rounds of votes. */
 const FIRST_PAUSE_MILLISECONDS = 40;
 /** Most of the pause between elections that nobody wins, ms: some rounds of votes. */
@@ -196,12 +196,11 @@
     const leadership = this.#leadership;
     if (leadership === undefined) return;
     this.#handingOver = true;
-    const deadline = performance.now() + HANDOVER_MILLISECONDS;
-    while (!leadership.isOver && performance.now() < deadline) {
-      const successor = this.#findSuccessor(leadership);
-      if (successor !== undefined) await this.#callSuccessor(successor);
-      await sleep(this.#options.timing.heartbeatMilliseconds / 2);
-    }
+    await handOverLeadership(leadership, {
+      options: this.#options,
+      log: this.#store.log,
+      membership: this.#store.membership,
+    });
     this.#handingOver = false;
   }
 
@@ -539,31 +538,4 @@
     this.#options.metrics.commitSeconds.observe({ group: this.group }, seconds);
     return outcome;
   }
-
-  #findSuccessor(leadership: Leadership): Member | undefined {
-    for (const voter of this.#store.membership.voters) {
-      const peer = leadership.findPeer(voter);
-      if (peer !== undefined && peer.matchIndex >= this.#store.log.lastIndex) {
-        return voter;
-      }
-    }
-    return undefined;
-  }
-
-  async #callSuccessor(successor: Member): Promise<void> {
-    const request: HandoverRequest = {
-      group: this.group,
-      term: this.#term,
-      from: this.#options.identity,
-      toIncarnation: successor.incarnation,
-      lastIndex: this.#store.log.lastIndex,
-    };
-    await this.#options.findPeer(successor).call(
-      "consensus.handover",
-      request,
-      {
-        timeoutMilliseconds: this.#options.timing.electionMilliseconds,
-      },
-    );
-  }
 }
