--- /dev/null
+++ b/packages/bench/src/cost/bench_cost.ts
@@ -0,0 +1,108 @@
+/**
+ * `npm run bench:cost`: what daemons of a site of gateways and stores spend of
+ * a processor to start, to be idle, and to serve turns.
+ */
+
+import { mkdirSync, rmSync } from "node:fs";
+import { join, resolve } from "node:path";
+import process from "node:process";
+import { readNumber } from "@mallowlift/cli";
+import { sleep } from "@mallowlift/core";
+import { OpaqueUpstream } from "@mallowlift/mocks";
+import { Command } from "commander";
+import { GatewaySite } from "../gateways/gateway_site.ts";
+import { TEST_DOCUMENT } from "../gateways/test_document.ts";
+import { recordResults } from "../measure/record_results.ts";
+import { type CostRow, CostWatch } from "./cost_watch.ts";
+import { askTurns, type TurnLoad } from "./turn_load.ts";
+
+/** Longest start of the whole site that is waited for after it is ready, ms. */
+const SETTLE_MILLISECONDS = 5_000;
+const MOST_DAEMONS = 200;
+
+interface CostOptions extends TurnLoad {
+  readonly gateways: number;
+  readonly stores: number;
+}
+
+function readOptions(): CostOptions {
+  const daemons = readNumber({ least: 1, most: MOST_DAEMONS });
+  return new Command("npm run bench:cost --")
+    .option("--gateways <number>", "gateways of the site", daemons, 10)
+    .option("--stores <number>", "stores of the site", daemons, 5)
+    .option(
+      "--per-second <number>",
+      "turns a second",
+      readNumber({ least: 1, most: 2_000 }),
+      100,
+    )
+    .option(
+      "--seconds <number>",
+      "length of the idle and of the busy part",
+      readNumber({ least: 1, most: 3_600 }),
+      15,
+    )
+    .parse()
+    .opts<CostOptions>();
+}
+
+async function main(): Promise<void> {
+  const options = readOptions();
+  const folder = resolve(".site", "bench-cost");
+  rmSync(folder, { recursive: true, force: true });
+  mkdirSync(folder, { recursive: true });
+  const upstreams = [new OpaqueUpstream("u-1"), new OpaqueUpstream("u-2")];
+  for (const upstream of upstreams) await upstream.start();
+  const site = await GatewaySite.start({
+    folder: join(folder, "site"),
+    gateways: options.gateways,
+    stores: options.stores,
+    upstreams,
+    directoryMilliseconds: 2_000,
+    listMilliseconds: 500,
+  }, TEST_DOCUMENT);
+  try {
+    const rows = await measure(site, options);
+    for (const row of rows) process.stdout.write(`${describeRow(row)}\n`);
+    const path = recordResults("bench-cost", { options, rows });
+    process.stdout.write(`Results: ${path}\n`);
+  } finally {
+    await stopAll(site);
+    for (const upstream of upstreams) upstream.stop();
+  }
+}
+
+async function measure(
+  site: GatewaySite,
+  options: CostOptions,
+): Promise<readonly CostRow[]> {
+  const watch = new CostWatch(site);
+  const started = watch.take("start", 1);
+  await sleep(SETTLE_MILLISECONDS);
+  watch.take("settling", SETTLE_MILLISECONDS / 1_000);
+  await sleep(options.seconds * 1_000);
+  const idle = watch.take("idle second", options.seconds);
+  const served = await askTurns(site, options);
+  const busy = watch.take("turn", Math.max(1, served));
+  process.stdout.write(
+    `${served} turns served of ${options.seconds * options.perSecond}\n`,
+  );
+  return [...started, ...idle, ...busy];
+}
+
+function describeRow(row: CostRow): string {
+  const { per, role, daemons, mean, most } = row;
+  return `${role} (${daemons}), per ${per}: ${mean.toFixed(2)} ms in the ` +
+    `mean of a daemon, ${most.toFixed(2)} at most`;
+}
+
+/** Stops every daemon in its own way, so that a profile asked for is written. */
+async function stopAll(site: GatewaySite): Promise<void> {
+  await Promise.all(site.daemons.map((daemon) => daemon.process.stop()));
+  await site.stop();
+}
+
+main().catch((thrown) => {
+  process.stderr.write(`${String(thrown)}\n`);
+  process.exitCode = 1;
+});
--- a/packages/bench/src/gateways/gateway_site.ts
+++ b/packages/bench/src/gateways/gateway_site.ts
@@ -40,6 +40,10 @@
   readonly waitMilliseconds?: number;
   /** Puts a proxy before each daemon and each upstream. */
   readonly proxied?: boolean;
+  /** Time between two readings of the instance list, ms; a test is in a hurry. */
+  readonly listMilliseconds?: number;
+  /** Time between two exchanges of the directory, ms; a test is in a hurry. */
+  readonly directoryMilliseconds?: number;
 }
 
 /** Gateways and stores with an instance list in a file. */
@@ -225,7 +229,7 @@
         // Daemons that an interrupted run left behind must stay strangers.
         shared_key: `${SITE_KEY}-${this.#key}`,
         seeds: this.#seeds,
-        directory_milliseconds: 200,
+        directory_milliseconds: this.#plan.directoryMilliseconds ?? 200,
       },
       gateway: {
         callers_listen: `127.0.0.1:${callers}`,
@@ -237,7 +241,7 @@
         data_folder: daemon.dataFolder,
         first_start: firstStart,
         list_address: this.#listPath,
-        list_milliseconds: 100,
+        list_milliseconds: this.#plan.listMilliseconds ?? 100,
       },
     }, {});
     writeFileSync(join(this.#plan.folder, `${daemon.name}.ini`), text);
--- a/packages/consensus/src/group/leadership.ts
+++ b/packages/consensus/src/group/leadership.ts
@@ -16,6 +16,7 @@
 } from "@mallowlift/core";
 import type { Caller } from "@mallowlift/transport";
 import { Ok } from "ts-results";
+import { chooseWarmSpares } from "./choose_warm_spares.ts";
 import type { GroupLog } from "./group_log.ts";
 import type { MemberView } from "./group_report.ts";
 import type { GroupOptions } from "./group_options.ts";
@@ -65,6 +66,8 @@
   #peers: readonly PeerProgress[] = [];
   readonly #work = new WakeSignal();
   readonly #acked = new WakeSignal();
+  /** Wakes the tasks of members that get no entries. */
+  readonly #changed = new WakeSignal();
   /** Ends when no member is being sent a snapshot. */
   #snapshotTurn: Promise<void> = Promise.resolve();
   #confirmAt = -Infinity;
@@ -85,6 +88,7 @@
     this.#over = true;
     this.#work.wake();
     this.#acked.wake();
+    this.#changed.wake();
   }
 
   /** Starts and ends replication as the membership asks. */
@@ -111,6 +115,40 @@
       void this.#replicate(peer);
     }
     this.#work.wake();
+    this.#changed.wake();
+  }
+
+  /** Chooses which members without a vote get entries; called now and then. */
+  chooseWarmSpares(now: number): void {
+    const { membership, options } = this.#parts;
+    const spares = this.#peers.filter((peer) => !isVoter(peer));
+    const warm = chooseWarmSpares(
+      spares.map((peer) => ({
+        member: peer.member,
+        isWarm: peer.isWarm,
+        lastIndex: peer.reportedIndex,
+        silentMilliseconds: now - peer.heardAt,
+      })),
+      {
+        voterCount: options.voterCount,
+        voters: membership.voters,
+        lostMilliseconds: options.timing.standbyMilliseconds,
+        freshMilliseconds: 2 * options.timing.electionMilliseconds,
+      },
+    );
+    for (const peer of spares) {
+      const isWarm = warm.has(peer.member);
+      if (isWarm === peer.isWarm) continue;
+      peer.isWarm = isWarm;
+      options.logger.info(isWarm ? "Spare is warm" : "Spare is cold", {
+        group: options.group,
+        member: peer.member.replicaId,
+        failure_domain: peer.member.failureDomain,
+        reported_index: peer.reportedIndex,
+        silent_ms: Math.round(now - peer.heardAt),
+      });
+      this.#changed.wake();
+    }
   }
 
   /** Returns the progress of a member. */
@@ -194,6 +232,7 @@
     const since = now - this.#parts.options.timing.standbyMilliseconds;
     let index = Infinity;
     for (const peer of this.#peers) {
+      if (!isVoter(peer) && !peer.isWarm) continue;
       if (peer.heardAt >= since) index = Math.min(index, peer.matchIndex);
     }
     return index;
@@ -253,7 +292,9 @@
     const sentAt = performance.now();
     const reply = await this.#callAppend(caller, {
       peer,
-      previousIndex: peer.matchIndex,
+      // Before the first answer nothing is known, and the end of the own log
+      // finds out how far the member is.
+      previousIndex: peer.matchIndex || peer.nextIndex - 1,
       entries: [],
       timeouts: 1,
     });
@@ -264,7 +305,8 @@
 
   /** True if a member gets entries now: spares yield while a quorum is behind. */
   #isFed(peer: PeerProgress): boolean {
-    if (peer.member.role === MEMBER_ROLES.VOTER) return true;
+    if (isVoter(peer)) return true;
+    if (!peer.isWarm) return false;
     const { log, getCommitIndex } = this.#parts;
     return log.lastIndex - getCommitIndex() <= YIELD_ENTRIES;
   }
@@ -273,25 +315,37 @@
   #findEntryWait(peer: PeerProgress, now: number): number {
     if (!this.#isFed(peer)) return Infinity;
     const behind = this.#parts.log.lastIndex - peer.nextIndex + 1;
-    if (peer.member.role === MEMBER_ROLES.VOTER) {
-      return behind > 0 ? 0 : Infinity;
-    }
+    if (isVoter(peer)) return behind > 0 ? 0 : Infinity;
     return findSpareWait({ behind, sentAt: peer.sentAt, now });
   }
 
   async #waitForWork(peer: PeerProgress): Promise<void> {
-    const heartbeat = this.#parts.options.timing.heartbeatMilliseconds;
     while (!this.#over && !peer.removed) {
       const now = performance.now();
       const wait = this.#findEntryWait(peer, now);
       if (wait <= 0) return;
-      if (peer.sentAt <= this.#confirmAt) return;
-      const left = peer.sentAt + heartbeat - now;
+      // Only an answer of a voter confirms a leadership.
+      if (isVoter(peer) && peer.sentAt <= this.#confirmAt) return;
+      const left = peer.sentAt + this.#findHeartbeat(peer) - now;
       if (left <= 0) return;
-      await this.#work.wait(Math.min(left, wait));
+      const isCold = !isVoter(peer) && !peer.isWarm;
+      const signal = isCold ? this.#changed : this.#work;
+      await signal.wait(Math.min(left, wait));
     }
   }
 
+  /**
+   * Time between two heartbeats to a member, ms. A spare elects nobody: it is
+   * to know that there is a leader, and the leader that it is there. On an idle
+   * site of 8 stores that leaves half of the leader's messages.
+   */
+  #findHeartbeat(peer: PeerProgress): number {
+    const { timing } = this.#parts.options;
+    return isVoter(peer)
+      ? timing.heartbeatMilliseconds
+      : timing.electionMilliseconds;
+  }
+
   async #sendEntries(peer: PeerProgress, caller: Caller): Promise<void> {
     const sentAt = performance.now();
     peer.sentAt = sentAt;
@@ -348,6 +402,7 @@
     const { reply, sentAt } = answer;
     if (reply.term > this.term) return this.#parts.onHigherTerm(reply.term);
     peer.heardAt = performance.now();
+    peer.reportedIndex = Math.max(peer.reportedIndex, reply.matchIndex);
     peer.ackedSentAt = Math.max(peer.ackedSentAt, sentAt);
     this.#acked.wake();
   }
@@ -418,6 +473,10 @@
   }
 }
 
+function isVoter(peer: PeerProgress): boolean {
+  return peer.member.role === MEMBER_ROLES.VOTER;
+}
+
 function sumBytes(entries: readonly LogEntry[]): number {
   return entries.reduce((sum, entry) => sum + entry.payload.length, 0);
 }
--- a/packages/consensus/src/group/peer_progress.ts
+++ b/packages/consensus/src/group/peer_progress.ts
@@ -10,6 +10,10 @@
   nextIndex: number;
   /** Last entry known to be on the member's disk. */
   matchIndex = 0;
+  /** Last entry that the member has told of, whether or not it is the leader's. */
+  reportedIndex = 0;
+  /** True if the member gets entries although it has no vote. */
+  isWarm = false;
   /** When the newest request that was answered had been sent. */
   ackedSentAt = -Infinity;
   /** When a request was last sent. */
--- a/packages/consensus/src/group/replicated_group.ts
+++ b/packages/consensus/src/group/replicated_group.ts
@@ -359,6 +359,7 @@
       const now = performance.now();
       if (this.#leadership !== undefined) {
         this.#report.noteWaiting(this.#viewWaiting(this.#leadership, now), now);
+        this.#leadership.chooseWarmSpares(now);
         this.#checkQuorum(this.#leadership, now);
         continue;
       }
--- a/packages/consensus/src/group/state_machine.ts
+++ b/packages/consensus/src/group/state_machine.ts
@@ -5,10 +5,12 @@
   /** Applies a committed command and returns the result for its proposer. */
   apply(command: unknown, index: number): unknown;
   /**
-   * Serializes the state, in parts that are written one after the other. A
-   * part may be memory of the state itself, as long as it never changes.
+   * Serializes the state as it is at the call, in parts that are written one
+   * after the other. They may be made as they are asked for, while commands are
+   * applied in between; none should take more than a few ms. A part may be
+   * memory of the state itself, as long as it never changes.
    */
-  takeSnapshot(): readonly Uint8Array[];
+  takeSnapshot(): Iterable<Uint8Array>;
   /** Replaces the state by a serialized one; an empty one is the first state. */
   restore(snapshot: Uint8Array): void;
 }
--- a/packages/consensus/src/storage/snapshot_store.ts
+++ b/packages/consensus/src/storage/snapshot_store.ts
@@ -13,8 +13,11 @@
 /** Bytes that hold the record before the state, at most: it names the members. */
 const MAX_HEADER_BYTES = 65_536;
 
-/** Bytes that are summed up in one go: a few ms, so that heartbeats get through. */
-const SUMMED_BYTES = 4_194_304;
+/**
+ * Bytes that are made and summed up in one go: a few ms of a whole core, so that
+ * heartbeats get through on a tenth of one.
+ */
+const SUMMED_BYTES = 65_536;
 
 /** Which state of a group a snapshot holds: the one after its entry `lastIndex`. */
 export interface SnapshotPoint {
@@ -32,8 +35,8 @@
 
 /** A snapshot to be written. */
 export interface SnapshotContent extends SnapshotPoint {
-  /** State machine, in parts that follow each other. */
-  readonly parts: readonly Uint8Array[];
+  /** State machine, in parts that follow each other; gone through once. */
+  readonly parts: Iterable<Uint8Array>;
 }
 
 /** First record of a file; the state follows it as it is. */
@@ -144,8 +147,8 @@
 
   /** Saves a snapshot in place of the earlier one. */
   async save(snapshot: SnapshotContent): Promise<void> {
-    const { parts, ...point } = snapshot;
-    const { stateBytes, stateChecksum } = await sumUp(parts);
+    const { parts: made, ...point } = snapshot;
+    const { parts, stateBytes, stateChecksum } = await sumUp(made);
     const header: SnapshotHeader = { ...point, stateBytes, stateChecksum };
     await replaceFile(this.#findPath(snapshot.group), [
       encodeRecord(header),
@@ -158,13 +161,20 @@
   }
 }
 
-async function sumUp(
-  parts: readonly Uint8Array[],
-): Promise<Pick<SnapshotHeader, "stateBytes" | "stateChecksum">> {
+/** What a state comes to once all its parts are made. */
+interface SummedState {
+  readonly parts: readonly Uint8Array[];
+  readonly stateBytes: number;
+  readonly stateChecksum: number;
+}
+
+async function sumUp(made: Iterable<Uint8Array>): Promise<SummedState> {
+  const parts: Uint8Array[] = [];
   let stateBytes = 0;
   let stateChecksum = 0;
   let unheard = 0;
-  for (const part of parts) {
+  for (const part of made) {
+    parts.push(part);
     stateBytes += part.length;
     stateChecksum = crc32(part, stateChecksum);
     unheard += part.length;
@@ -172,5 +182,5 @@
     await nextTurn();
     unheard = 0;
   }
-  return { stateBytes, stateChecksum };
+  return { parts, stateBytes, stateChecksum };
 }
--- a/packages/consensus/src/storage/snapshot_store_test.ts
+++ b/packages/consensus/src/storage/snapshot_store_test.ts
@@ -22,7 +22,7 @@
   t.equal(store.load(1), undefined);
   await store.save(createContent(5, 7));
   const { parts, ...point } = createContent(5, 7);
-  t.same(store.load(1), { ...point, state: Buffer.concat(parts) });
+  t.same(store.load(1), { ...point, state: Buffer.concat([...parts]) });
 });
 
 test("an open snapshot is read to its end although a newer one is saved", async (t) => {
--- a/packages/sessions/src/site_state.ts
+++ b/packages/sessions/src/site_state.ts
@@ -77,8 +77,11 @@
         this.turns.has(turnId));
   }
 
-  /** Serializes everything; inputs and outputs of turns are not copied. */
-  takeSnapshot(): readonly Uint8Array[] {
+  /**
+   * Serializes everything as it is now, in parts that are made as they are
+   * asked for; inputs and outputs of turns are not copied.
+   */
+  takeSnapshot(): Iterable<Uint8Array> {
     return encodeSiteSnapshot({
       document: this.#document,
       turns: this.turns.store(),
--- a/packages/sessions/src/site_state_test.ts
+++ b/packages/sessions/src/site_state_test.ts
@@ -144,7 +144,7 @@
   state.apply(begin("c"));
   state.apply({ kind: "retire", name: "store-1", incarnation: "i-1" });
   const copy = new SiteState();
-  copy.restore(Buffer.concat(state.takeSnapshot()));
+  copy.restore(Buffer.concat([...state.takeSnapshot()]));
   t.equal(copy.documentVersion, 3);
   t.equal(String(copy.document?.source), "three");
   t.equal(copy.retiring.get("store-1"), "i-1");
@@ -154,6 +154,30 @@
   t.end();
 });
 
+test("a snapshot is of the moment at which it was taken", (t) => {
+  const state = new SiteState();
+  const keep = (turnId: string, previousId: string, at: number) => {
+    state.apply(begin(turnId, { previousId, at }));
+    state.apply({ ...end(turnId), previousId, at });
+  };
+  keep("a", "", 0);
+  keep("b", "a", 0);
+  const parts = state.takeSnapshot()[Symbol.iterator]();
+  const made = [parts.next().value as Uint8Array];
+  keep("c", "b", 50_000);
+  for (let next = parts.next(); !next.done; next = parts.next()) {
+    made.push(next.value);
+  }
+  const copy = new SiteState();
+  copy.restore(Buffer.concat(made));
+  t.notOk(copy.turns.has("c"), "what came later is not in it");
+  const expires = (of: SiteState) =>
+    of.turns.store().map(({ turnId, expiresAt }) => [turnId, expiresAt]);
+  copy.apply({ ...end("c"), previousId: "b", at: 50_000 });
+  t.same(expires(copy), expires(state), "and the same follows from it");
+  t.end();
+});
+
 test("a document is refused whole for any mistake", (t) => {
   const service = {
     name: "s",
--- a/packages/sessions/src/turn_tree.ts
+++ b/packages/sessions/src/turn_tree.ts
@@ -59,9 +59,16 @@
     }
   }
 
-  /** All turns, for a snapshot. */
+  /**
+   * All turns, for a snapshot that is made while later commands are applied.
+   * Copied, since the time until which a turn is kept grows: a snapshot with a
+   * later time for a turn than for the one before it would break the chain
+   * when commands are applied to it again.
+   */
   store(): readonly StoredTurn[] {
-    return [...this.#turns.values()];
+    const stored: StoredTurn[] = [];
+    for (const turn of this.#turns.values()) stored.push({ ...turn });
+    return stored;
   }
 
   /** Replaces everything by the content of a snapshot. */
--- a/packages/transport/src/frame.ts
+++ b/packages/transport/src/frame.ts
@@ -102,15 +102,17 @@
 
 /** Checks that a decoded value is a frame. */
 export function checkFrame(value: unknown): Outcome<Frame> {
-  const malformed = fail(
-    RESULT_CODES.FRAME_MALFORMED,
-    "Frame has no known type",
-  );
-  if (typeof value !== "object" || value === null) return malformed;
-  const frame = value as Partial<Frame>;
-  if (typeof frame.type !== "string") return malformed;
-  if (!FRAME_TYPES.includes(frame.type)) return malformed;
-  if (!Number.isSafeInteger(frame.id)) return malformed;
-  if (frame.type === "call" && typeof frame.name !== "string") return malformed;
-  return Ok(value as Frame);
+  if (isFrame(value)) return Ok(value);
+  // Made only here: an error records its stack, which took an eighth of the
+  // processor time of an idle leader when each frame made one (a profile of
+  // 10 s: 7.4 of 62 ms a second).
+  return fail(RESULT_CODES.FRAME_MALFORMED, "Frame has no known type");
+}
+
+function isFrame(value: unknown): value is Frame {
+  if (typeof value !== "object" || value === null) return false;
+  const { type, id, name } = value as Partial<Frame>;
+  if (typeof type !== "string" || !FRAME_TYPES.includes(type)) return false;
+  if (!Number.isSafeInteger(id)) return false;
+  return type !== "call" || typeof name === "string";
 }
