Voters lie in as many failure domains as there are, and a cold spare knows that it is one

A site names its stores by failure domain, and the founding took the first five of the list as voters: a quorum in one domain. The founder spreads them, and a lost voter is replaced from the domain that has the fewest.

A spare that gets no entries did not know that it was a member, asked to join three times a second, and each ask became an entry (181 entries for one command in warm_spares_test); a heartbeat tells it.

--- a/packages/consensus/src/founding/founding.ts
+++ b/packages/consensus/src/founding/founding.ts
@@ -11,6 +11,7 @@
 } from "@mallowlift/core";
 import { performance } from "node:perf_hooks";
 import type { Caller } from "@mallowlift/transport";
+import { spreadOverDomains } from "../group/failure_domains.ts";
 import type { ReplicaSource } from "./replica_source.ts";
 
 /** Pause between two rounds of questions, ms: short against any start of a process. */
@@ -94,10 +95,11 @@
     ...state.identity,
     role: MEMBER_ROLES.VOTER,
     address: founder.address,
-    failureDomain: "",
+    failureDomain: state.failureDomain,
   }));
   const voterCount = options.voterCount ?? founders.length;
-  const members = [self, ...others].map((member, position) => ({
+  const spread = spreadOverDomains([self, ...others]);
+  const members = spread.map((member, position) => ({
     ...member,
     role: position < voterCount ? MEMBER_ROLES.VOTER : MEMBER_ROLES.STANDBY,
   }));
--- a/packages/consensus/src/founding/founding_test.ts
+++ b/packages/consensus/src/founding/founding_test.ts
@@ -26,6 +26,7 @@
     founder: { replicaId, address: `${replicaId}:1` },
     state: {
       identity: { replicaId, incarnation: "new" },
+      failureDomain: replicaId.slice(0, 1),
       founded,
       foundingMembers: founders.map((id) => createSelf(id)),
     },
@@ -47,6 +48,25 @@
   t.end();
 });
 
+test("the founding voters lie in as many failure domains as there are", (t) => {
+  const ids = ["a1", "a2", "a3", "b1", "b2", "c1"];
+  const founders = ids.map((id) => ({ replicaId: id, address: `${id}:1` }));
+  const decision = decideFromAnswers(
+    ids.slice(1).map((id) => createAnswer(id, false)),
+    {
+      self: { ...createSelf("a1"), failureDomain: "a" },
+      founders,
+      voterCount: 3,
+    },
+  );
+  const voters = decision?.members.filter((member) =>
+    member.role === MEMBER_ROLES.VOTER
+  );
+  t.same(voters?.map((member) => member.replicaId), ["a1", "b1", "c1"]);
+  t.equal(decision?.members.length, ids.length);
+  t.end();
+});
+
 test("an empty replica of a founded site joins, unless it was there at the founding", (t) => {
   const founded = [createAnswer("r2", true, ["r1", "r2", "r3"])];
   const known = decideFromAnswers(founded, {
--- a/packages/consensus/src/group/choose_warm_spares.ts
+++ b/packages/consensus/src/group/choose_warm_spares.ts
@@ -12,6 +12,7 @@
  */
 
 import type { Member } from "@mallowlift/core";
+import { countInDomain } from "./failure_domains.ts";
 
 /** A member without a vote as the leader sees it. */
 export interface SpareView {
@@ -97,12 +98,3 @@
   }
   return spare.member.replicaId < other.member.replicaId;
 }
-
-/** How many of the members lie in a failure domain. */
-export function countInDomain(
-  members: readonly Member[],
-  failureDomain: string,
-): number {
-  return members.filter((member) => member.failureDomain === failureDomain)
-    .length;
-}
--- a/packages/consensus/src/group/leadership.ts
+++ b/packages/consensus/src/group/leadership.ts
@@ -114,10 +114,17 @@
       this.#peers = [...this.#peers, peer];
       void this.#replicate(peer);
     }
+    // A repair does not wait for the next look.
+    if (this.#isShortOfVoters) this.chooseWarmSpares(now);
     this.#work.wake();
     this.#changed.wake();
   }
 
+  get #isShortOfVoters(): boolean {
+    const { membership, options } = this.#parts;
+    return membership.voters.length < options.voterCount;
+  }
+
   /** Chooses which members without a vote get entries; called now and then. */
   chooseWarmSpares(now: number): void {
     const { membership, options } = this.#parts;
@@ -220,6 +227,7 @@
     for (const peer of this.#peers) {
       lag.push({
         replicaId: peer.member.replicaId,
+        isFed: !isCold(peer),
         entries: this.#parts.log.lastIndex - peer.matchIndex,
         silentMilliseconds: Math.round(now - peer.heardAt),
       });
@@ -232,7 +240,7 @@
     const since = now - this.#parts.options.timing.standbyMilliseconds;
     let index = Infinity;
     for (const peer of this.#peers) {
-      if (!isVoter(peer) && !peer.isWarm) continue;
+      if (isCold(peer)) continue;
       if (peer.heardAt >= since) index = Math.min(index, peer.matchIndex);
     }
     return index;
@@ -306,7 +314,7 @@
   /** True if a member gets entries now: spares yield while a quorum is behind. */
   #isFed(peer: PeerProgress): boolean {
     if (isVoter(peer)) return true;
-    if (!peer.isWarm) return false;
+    if (isCold(peer)) return false;
     const { log, getCommitIndex } = this.#parts;
     return log.lastIndex - getCommitIndex() <= YIELD_ENTRIES;
   }
@@ -328,8 +336,7 @@
       if (isVoter(peer) && peer.sentAt <= this.#confirmAt) return;
       const left = peer.sentAt + this.#findHeartbeat(peer) - now;
       if (left <= 0) return;
-      const isCold = !isVoter(peer) && !peer.isWarm;
-      const signal = isCold ? this.#changed : this.#work;
+      const signal = isCold(peer) ? this.#changed : this.#work;
       await signal.wait(Math.min(left, wait));
     }
   }
@@ -388,6 +395,8 @@
       previousTerm: log.findTerm(previousIndex) ?? 0,
       entries,
       commitIndex: this.#parts.getCommitIndex(),
+      // Whoever is wanted as a voter is not well before it has caught up.
+      ...(isCold(peer) && !this.#isShortOfVoters ? { isCold: true } : {}),
     };
     return await caller.call("consensus.append", request, {
       timeoutMilliseconds: timeouts * options.timing.electionMilliseconds,
@@ -477,6 +486,11 @@
   return peer.member.role === MEMBER_ROLES.VOTER;
 }
 
+/** True for a spare that gets no entries. */
+function isCold(peer: PeerProgress): boolean {
+  return !isVoter(peer) && !peer.isWarm;
+}
+
 function sumBytes(entries: readonly LogEntry[]): number {
   return entries.reduce((sum, entry) => sum + entry.payload.length, 0);
 }
--- a/packages/consensus/src/group/membership_keeper.ts
+++ b/packages/consensus/src/group/membership_keeper.ts
@@ -1,6 +1,7 @@
 /** Decides the next membership change of a group that this replica leads. */
 
 import { type Member, MEMBER_ROLES } from "@mallowlift/core";
+import { findLonely } from "./failure_domains.ts";
 
 const CAUGHT_UP_ENTRIES = 64;
 
@@ -59,10 +60,12 @@
     if (silent === undefined || silent.self) return undefined;
     return members.filter((member) => member !== silent.member);
   }
-  const ready = findReady(health, limits);
-  if (ready === undefined) return undefined;
   const isWanted = voters.length < limits.voterCount || silent !== undefined;
   if (!isWanted) return undefined;
+  const candidates = listReady(health, limits);
+  if (candidates.length === 0) return undefined;
+  const staying = voters.filter((known) => known !== silent);
+  const ready = findLonely(candidates, staying.map((known) => known.member));
   return members.map((member) => member === ready ? promote(member) : member);
 }
 
@@ -77,17 +80,19 @@
   return [...others, joining];
 }
 
-function findReady(
+/** Members without a vote that could take one at once. */
+function listReady(
   health: readonly MemberHealth[],
   limits: KeeperLimits,
-): Member | undefined {
+): readonly Member[] {
+  const ready: Member[] = [];
   for (const known of health) {
     if (known.member.role === MEMBER_ROLES.VOTER) continue;
     if (known.silentMilliseconds > limits.freshMilliseconds) continue;
     if (limits.retiring?.has(known.member.incarnation)) continue;
-    if (known.lag <= CAUGHT_UP_ENTRIES) return known.member;
+    if (known.lag <= CAUGHT_UP_ENTRIES) ready.push(known.member);
   }
-  return undefined;
+  return ready;
 }
 
 function promote(member: Member): Member {
--- a/packages/consensus/src/group/membership_keeper_test.ts
+++ b/packages/consensus/src/group/membership_keeper_test.ts
@@ -56,6 +56,36 @@
   t.end();
 });
 
+test("a lost voter is replaced from the failure domain with the fewest voters", (t) => {
+  const row = (
+    replicaId: string,
+    role: Member["role"],
+    silentMilliseconds = 0,
+  ): MemberHealth => ({
+    member: {
+      replicaId,
+      incarnation: "i",
+      role,
+      address: "",
+      failureDomain: replicaId.slice(0, 1),
+    },
+    self: replicaId === "a1",
+    lag: 0,
+    silentMilliseconds,
+  });
+  const { VOTER, LEARNER } = MEMBER_ROLES;
+  const planned = planMembers([
+    row("a1", VOTER),
+    row("b1", VOTER),
+    row("c1", VOTER, 5_000),
+    row("a2", LEARNER),
+    row("b2", LEARNER),
+    row("c2", LEARNER),
+  ], LIMITS);
+  t.same(listVoters(planned ?? []), ["a1", "b1", "c1", "c2"]);
+  t.end();
+});
+
 test("a member that lacks entries is never promoted", (t) => {
   fc.assert(
     fc.property(health, (known) => {
--- a/packages/consensus/src/group/replicated_group.ts
+++ b/packages/consensus/src/group/replicated_group.ts
@@ -58,6 +58,8 @@
   #votedFor: string;
   #leader = "";
   #heardAt = -Infinity;
+  /** True if the leader that was heard last keeps this replica as a cold spare. */
+  #isCold = false;
   #leadership: Leadership | undefined;
   #announced = false;
   #handingOver = false;
@@ -127,20 +129,29 @@
     return this.#leadership !== undefined ? 0 : now - this.#heardAt;
   }
 
+  /**
+   * True if a leader counts this replica but sends it no entries, so that it
+   * may not know of its own membership.
+   */
+  get isCold(): boolean {
+    return this.#isCold;
+  }
+
   /**
    * True if this replica follows a leader, is not far behind, and counts or is
-   * a spare one beside enough voters.
+   * a spare one beside enough voters. A cold spare has nothing to be behind in.
    */
   isHealthy(now: number): boolean {
+    const limit = 4 * this.#options.timing.electionMilliseconds;
+    if (this.findSilence(now) >= limit) return false;
+    if (this.#isCold) return true;
     const { membership } = this.#store;
     const member = membership.find(this.#options.identity);
     const isSpare = membership.voters.length >= this.#options.voterCount;
     if (member === undefined || (member.role === "learner" && !isSpare)) {
       return false;
     }
-    const limit = 4 * this.#options.timing.electionMilliseconds;
-    return this.findSilence(now) < limit &&
-      this.#applier.appliedIndex >= this.#applier.commitIndex;
+    return this.#applier.appliedIndex >= this.#applier.commitIndex;
   }
 
   /**
@@ -233,6 +244,7 @@
       return Ok({ term, accepted: false, matchIndex: 0 });
     }
     this.#followLeader(request.term, request.from.replicaId);
+    this.#isCold = request.isCold === true;
     if (request.previousIndex < this.#store.log.baseIndex) {
       return Ok({
         term: this.#term,
--- a/packages/consensus/src/replica_groups.ts
+++ b/packages/consensus/src/replica_groups.ts
@@ -258,6 +258,7 @@
     const snapshot = folder.getStored(group).snapshot;
     return {
       identity: folder.identity,
+      failureDomain: this.#options.failureDomain,
       founded: this.knowsFounding,
       // The decision comes before the folder holds it.
       foundingMembers: snapshot?.lastIndex === 0
@@ -273,7 +274,11 @@
     while (!this.#stopped.signal.aborted) {
       await sleep(KEEP_MILLISECONDS, this.#stopped.signal);
       const isMember = group.membership.find(self) !== undefined;
-      if (isMember && group.findSilence(performance.now()) < patience) continue;
+      // A cold spare was not sent the entry by which it was taken in; each ask
+      // would be another one.
+      const isCounted = isMember || group.isCold;
+      const isHeard = group.findSilence(performance.now()) < patience;
+      if (isCounted && isHeard) continue;
       if (this.#options.replicas.listRetiring().has(self.incarnation)) continue;
       for (const replica of this.#options.replicas.list()) {
         if (replica.replicaId === self.replicaId) continue;
@@ -334,7 +339,8 @@
       return {
         member,
         self,
-        lag: self ? 0 : known?.entries ?? Infinity,
+        // What is caught up by chance on an idle site gets no vote either.
+        lag: self ? 0 : known?.isFed === true ? known.entries : Infinity,
         silentMilliseconds: self ? 0 : known?.silentMilliseconds ?? Infinity,
       };
     });
--- a/packages/core/src/types/consensus.ts
+++ b/packages/core/src/types/consensus.ts
@@ -73,6 +73,8 @@
   readonly previousTerm: number;
   readonly entries: readonly LogEntry[];
   readonly commitIndex: number;
+  /** True if the receiver is a member that gets no entries for now. */
+  readonly isCold?: boolean;
 }
 
 /** Answer to an {@linkcode AppendRequest}. */
@@ -109,6 +111,7 @@
 /** Answer to a {@linkcode FoundingQuery}. */
 export interface FoundingState {
   readonly identity: ReplicaIdentity;
+  readonly failureDomain: string;
   readonly founded: boolean;
   /** Members at the founding, if it was founded. */
   readonly foundingMembers: readonly Member[];
@@ -144,6 +147,8 @@
 /** Entries that one member lacks. */
 export interface MemberLag {
   readonly replicaId: string;
+  /** True if it gets entries: it votes, or is a warm spare. */
+  readonly isFed: boolean;
   readonly entries: number;
   readonly silentMilliseconds: number;
 }
