--- a/packages/bench/src/cost/bench_cost.ts
+++ b/packages/bench/src/cost/bench_cost.ts
@@ -23,6 +23,7 @@
 interface CostOptions extends TurnLoad {
   readonly gateways: number;
   readonly stores: number;
+  readonly tolerance: number;
 }
 
 function readOptions(): CostOptions {
@@ -30,6 +31,12 @@
   return new Command("npm run bench:cost --")
     .option("--gateways <number>", "gateways of the site", daemons, 10)
     .option("--stores <number>", "stores of the site", daemons, 5)
+    .option(
+      "--tolerance <number>",
+      "stores that may be lost at once",
+      readNumber({ least: 0, most: 7 }),
+      2,
+    )
     .option(
       "--per-second <number>",
       "turns a second",
@@ -57,6 +64,7 @@
     folder: join(folder, "site"),
     gateways: options.gateways,
     stores: options.stores,
+    tolerance: options.tolerance,
     upstreams,
     directoryMilliseconds: 2_000,
     listMilliseconds: 500,
--- a/packages/bench/src/gateways/gateway_site.ts
+++ b/packages/bench/src/gateways/gateway_site.ts
@@ -40,6 +40,8 @@
   readonly waitMilliseconds?: number;
   /** Puts a proxy before each daemon and each upstream. */
   readonly proxied?: boolean;
+  /** Stores that may be lost at once; usually 1. */
+  readonly tolerance?: number;
   /** Time between two readings of the instance list, ms; a test is in a hurry. */
   readonly listMilliseconds?: number;
   /** Time between two exchanges of the directory, ms; a test is in a hurry. */
@@ -240,6 +242,7 @@
       store: {
         data_folder: daemon.dataFolder,
         first_start: firstStart,
+        tolerance: this.#plan.tolerance ?? 1,
         list_address: this.#listPath,
         list_milliseconds: this.#plan.listMilliseconds ?? 100,
       },
