Daemons compare what they know of each other, and tell only what differs

Cause: each exchange of the directory sent every record both ways, twice in two seconds a daemon: 28 kB a second a daemon at 100 daemons, 112 kB at 390, counted from the encoded messages. Now a summary of 8 bytes a daemon goes first, and then the records that the other lacks and the ages that are younger: 1.1 and 4.0 kB. Ages are rounded up, so that nobody who is gone grows younger. A daemon that knows no store yet, or meets an older release, exchanges everything.

Also: calls to the leader made an error each before they were made.

--- a/packages/consensus/src/group/failure_domains_test.ts
+++ b/packages/consensus/src/group/failure_domains_test.ts
@@ -1,6 +1,10 @@
 import { type Member, MEMBER_ROLES } from "@mallowlift/core";
 import { test } from "tap";
-import { countInDomain, findLonely, spreadOverDomains } from "./failure_domains.ts";
+import {
+  countInDomain,
+  findLonely,
+  spreadOverDomains,
+} from "./failure_domains.ts";
 
 function makeMembers(...names: readonly string[]): readonly Member[] {
   return names.map((replicaId) => ({
--- a/packages/core/src/types/internal_handlers.ts
+++ b/packages/core/src/types/internal_handlers.ts
@@ -31,6 +31,8 @@
 import type { SidecarReport, SidecarStatus } from "./sidecars.ts";
 import type {
   BeginTurn,
+  DirectoryComparison,
+  DirectoryDifference,
   DirectoryExchange,
   DocumentAck,
   DocumentSource,
@@ -222,6 +224,7 @@
   "cache.release": Signature<ReleaseRequest, Nothing>;
   "replica.status": Signature<Nothing, ReplicaStatus>;
   "directory.exchange": Signature<DirectoryExchange, DirectoryExchange>;
+  "directory.compare": Signature<DirectoryComparison, DirectoryDifference>;
   "directory.claim": Signature<FoundingClaim, FoundingGrant>;
   "site.follow": Signature<FollowRequest, FollowReply>;
   "site.replace": Signature<ReplaceDocument, DocumentAck>;
--- a/packages/core/src/types/site.ts
+++ b/packages/core/src/types/site.ts
@@ -18,6 +18,24 @@
 /** Tells the sender's directory; the answer tells the receiver's. */
 export interface DirectoryExchange {
   readonly records: readonly DaemonRecord[];
+  /** True if the answer need not tell anything. */
+  readonly isOnlyTold?: boolean;
+}
+
+/** Tells which records the sender holds, and how old its word on each is. */
+export interface DirectoryComparison {
+  /** A packed summary; see the directory's module of that name. */
+  readonly known: Uint8Array;
+}
+
+/** What the receiver of a {@linkcode DirectoryComparison} holds otherwise. */
+export interface DirectoryDifference {
+  /** Records that the sender lacks. */
+  readonly records: readonly DaemonRecord[];
+  /** A packed summary of those that the receiver has heard of later. */
+  readonly fresher: Uint8Array;
+  /** A packed summary of those that the receiver lacks. */
+  readonly wanted: Uint8Array;
 }
 
 /** Asks a seed for its grant to found the site. */
--- a/packages/gateway/src/site/site_client.ts
+++ b/packages/gateway/src/site/site_client.ts
@@ -108,10 +108,7 @@
   ): Promise<Outcome<InternalHandlers[N]["reply"]>> {
     const until = performance.now() + waitMilliseconds;
     let isUncertain = false;
-    let outcome: Outcome<InternalHandlers[N]["reply"]> = fail(
-      RESULT_CODES.NO_LEADER,
-      "No leader of the stores is known",
-    );
+    let outcome: Outcome<InternalHandlers[N]["reply"]> | undefined;
     while (true) {
       const left = until - performance.now();
       const leader = this.#leader;
@@ -135,8 +132,12 @@
         if (this.#leader === leader && !isSlow) this.#leader = undefined;
       }
       const rest = until - performance.now();
-      if (rest <= 0) return outcome;
+      if (rest <= 0) return outcome ?? refuseWithoutLeader();
       if (this.#leader === undefined) await this.#found.wait(rest);
     }
   }
 }
+
+function refuseWithoutLeader() {
+  return fail(RESULT_CODES.NO_LEADER, "No leader of the stores is known");
+}
--- a/packages/membership/src/directory.ts
+++ b/packages/membership/src/directory.ts
@@ -1,6 +1,16 @@
 /** What a daemon has heard of the others. It finds peers; it decides nothing. */
 
-import type { DaemonRecord } from "@mallowlift/core";
+import type {
+  DaemonRecord,
+  DirectoryComparison,
+  DirectoryDifference,
+} from "@mallowlift/core";
+import {
+  findKey,
+  packSummary,
+  readSummary,
+  type SummaryEntry,
+} from "./directory_summary.ts";
 
 /**
  * Age at which a record is dropped, ms. Far above the time between exchanges,
@@ -8,11 +18,18 @@
  */
 const FORGET_MILLISECONDS = 15_000;
 
+/**
+ * How much younger a word must be to be passed on, ms: far below the ages that
+ * anything is decided by, and above what a few daemons add by rounding.
+ */
+const FRESHER_MILLISECONDS = 100;
+
 /** A daemon as it tells of itself. */
 export type SelfRecord = Omit<DaemonRecord, "ageMilliseconds">;
 
 interface KnownDaemon {
   readonly record: SelfRecord;
+  readonly key: number;
   /** When the daemon itself was last heard, by the local clock. */
   readonly heardAt: number;
 }
@@ -20,11 +37,15 @@
 /** The daemons that are known. */
 export class Directory {
   readonly #self: SelfRecord;
+  readonly #selfKey: number;
   readonly #known = new Map<string, KnownDaemon>();
+  /** The same daemons by the key of their record. */
+  readonly #byKey = new Map<number, KnownDaemon>();
   #changedAt = 0;
 
   constructor(self: SelfRecord) {
     this.#self = self;
+    this.#selfKey = findKey(self);
   }
 
   /** This daemon. */
@@ -45,7 +66,7 @@
       if (ageMilliseconds > FORGET_MILLISECONDS) continue;
       const known = this.#known.get(record.name);
       if (known !== undefined && known.heardAt >= heardAt) continue;
-      this.#known.set(record.name, { record, heardAt });
+      this.#set(record, heardAt);
       if (known?.record.bootId !== record.bootId) this.#changedAt = now;
     }
   }
@@ -55,6 +76,7 @@
     for (const [name, known] of this.#known) {
       if (now - known.heardAt <= FORGET_MILLISECONDS) continue;
       this.#known.delete(name);
+      this.#byKey.delete(known.key);
       this.#changedAt = now;
     }
   }
@@ -68,6 +90,72 @@
     return records;
   }
 
+  /** Which records are known, this daemon's own first, and how old each word is. */
+  summarize(now: number): DirectoryComparison {
+    const entries: SummaryEntry[] = [
+      { key: this.#selfKey, ageMilliseconds: 0 },
+    ];
+    for (const { key, heardAt } of this.#known.values()) {
+      entries.push({ key, ageMilliseconds: Math.max(0, now - heardAt) });
+    }
+    return { known: packSummary(entries) };
+  }
+
+  /**
+   * Takes over what another daemon has heard later, and tells what it lacks.
+   *
+   * @example
+   * ```ts
+   * const difference = here.compare(there.summarize(now), now);
+   * there.merge(difference.records, now);
+   * there.refresh(difference.fresher, now);
+   * ```
+   */
+  compare(request: DirectoryComparison, now: number): DirectoryDifference {
+    const told = new Set<number>();
+    const wanted: SummaryEntry[] = [];
+    const fresher: SummaryEntry[] = [];
+    for (const entry of readSummary(request.known)) {
+      told.add(entry.key);
+      if (entry.key === this.#selfKey) continue;
+      const known = this.#byKey.get(entry.key);
+      const age = known === undefined ? Infinity : now - known.heardAt;
+      if (known === undefined) wanted.push(entry);
+      else if (entry.ageMilliseconds - age >= FRESHER_MILLISECONDS) {
+        fresher.push({ key: known.key, ageMilliseconds: Math.max(0, age) });
+      }
+    }
+    const records = this.describe(now).filter((record) =>
+      !told.has(this.#findKeyOf(record.name))
+    );
+    this.refresh(request.known, now);
+    return {
+      records,
+      fresher: packSummary(fresher),
+      wanted: packSummary(wanted),
+    };
+  }
+
+  /** Takes over how lately daemons were heard whose records are known. */
+  refresh(summary: Uint8Array, now: number): void {
+    for (const { key, ageMilliseconds } of readSummary(summary)) {
+      const known = this.#byKey.get(key);
+      if (known === undefined || ageMilliseconds > FORGET_MILLISECONDS) {
+        continue;
+      }
+      const heardAt = now - ageMilliseconds;
+      if (heardAt > known.heardAt) this.#set(known.record, heardAt);
+    }
+  }
+
+  /** Those of a summary whose records are known, with their ages. */
+  describeWanted(summary: Uint8Array, now: number): readonly DaemonRecord[] {
+    const keys = new Set(readSummary(summary).map((entry) => entry.key));
+    return this.describe(now).filter((record) =>
+      keys.has(this.#findKeyOf(record.name))
+    );
+  }
+
   /** Daemons with a role that were heard within a time, by name. */
   findByRole(role: string, since = -Infinity): readonly SelfRecord[] {
     const found: SelfRecord[] = [];
@@ -89,4 +177,18 @@
   listPeers(): readonly string[] {
     return [...this.#known.values()].map(({ record }) => record.address);
   }
+
+  #findKeyOf(name: string): number {
+    return this.#known.get(name)?.key ?? this.#selfKey;
+  }
+
+  #set(record: SelfRecord, heardAt: number): void {
+    const before = this.#known.get(record.name);
+    const isSame = before !== undefined && before.record === record;
+    if (before !== undefined) this.#byKey.delete(before.key);
+    const key = isSame ? before.key : findKey(record);
+    const known = { record, key, heardAt };
+    this.#known.set(record.name, known);
+    this.#byKey.set(key, known);
+  }
 }
--- a/packages/membership/src/directory_task.ts
+++ b/packages/membership/src/directory_task.ts
@@ -6,6 +6,7 @@
   type Child,
   type DirectoryExchange,
   type Outcome,
+  RESULT_CODES,
   ROLES,
   sleep,
 } from "@mallowlift/core";
@@ -55,10 +56,12 @@
         const now = performance.now();
         directory.merge(request.records, now);
         const reply: Outcome<DirectoryExchange> = Ok({
-          records: directory.describe(now),
+          records: request.isOnlyTold === true ? [] : directory.describe(now),
         });
         return Promise.resolve(reply);
       },
+      "directory.compare": (request) =>
+        Promise.resolve(Ok(directory.compare(request, performance.now()))),
       "directory.claim": (request) =>
         Promise.resolve(Ok(grants.claim(request, performance.now()))),
     };
@@ -112,7 +115,9 @@
       const isEarly = now - startedAt < HURRY_MILLISECONDS;
       const isLost = directory.findByRole(ROLES.STORE).length === 0;
       const peers = this.#choosePeers(isEarly && isLost);
-      for (const address of peers) void this.#exchange(address);
+      for (const address of peers) {
+        void (isLost ? this.#exchange(address) : this.#compare(address));
+      }
       const hurry = isLost
         ? SEARCH_INTERVAL_MILLISECONDS
         : HURRY_INTERVAL_MILLISECONDS;
@@ -143,6 +148,34 @@
     return addresses[Math.floor(this.#options.random() * addresses.length)];
   }
 
+  /**
+   * Finds out what differs and exchanges only that. Among 390 daemons that know
+   * each other a daemon and whoever answers it send 4.0 kB a second in this
+   * way, and 112 kB with all records each time; among 100 it is 1.1 and 28 kB
+   * (counted from the encoded messages, at an interval of 2 s).
+   */
+  async #compare(address: string): Promise<void> {
+    const { directory, links } = this.#options;
+    const link = links.get(address);
+    const answer = await link.call(
+      "directory.compare",
+      directory.summarize(performance.now()),
+      { timeoutMilliseconds: ANSWER_MILLISECONDS },
+    );
+    if (answer.err) {
+      const isOlder = answer.val.code === RESULT_CODES.UNKNOWN_METHOD;
+      return isOlder ? await this.#exchange(address) : undefined;
+    }
+    const now = performance.now();
+    directory.merge(answer.val.records, now);
+    directory.refresh(answer.val.fresher, now);
+    const records = directory.describeWanted(answer.val.wanted, now);
+    if (records.length === 0) return;
+    await link.call("directory.exchange", { records, isOnlyTold: true }, {
+      timeoutMilliseconds: ANSWER_MILLISECONDS,
+    });
+  }
+
   async #exchange(address: string): Promise<void> {
     const { directory, links } = this.#options;
     const records = directory.describe(performance.now());
