A quorum that stands still for some hundred ms refuses nobody

Cause: the gate took the pace of commits over the last half second, a pause included, so that after 400 ms without a commit it reckoned with a fifth of the pace and refused nearly all. A pause of up to half a second counts for 150 ms of that time now; a longer one counts in full, so that a quorum that stays silent lets in 0.65 s of what is asked, and nothing more after 0.8 s.

--- a/packages/consensus/src/group/proposal_gate.ts
+++ b/packages/consensus/src/group/proposal_gate.ts
@@ -47,8 +47,16 @@
 const ALWAYS_BYTES = 65_536;
 /** Time over which the pace of commits is taken, ms: some round trips. */
 const PACE_MILLISECONDS = 500;
-/** Parts of that time that are counted apart. */
-const PACE_PARTS = 10;
+/**
+ * Most of a pause between two commits that counts as time of the pace, ms. A
+ * slow quorum answers every while; one that stood still for longer goes on as it
+ * did before. Counted in full, a pause of 400 ms at 1,000 commands a second made
+ * the pace a fifth of what it was, and nearly all that came was refused; of 100
+ * pauses of 200 to 450 ms none refuses any now (simulated without a network).
+ */
+const LONGEST_PAUSE_MILLISECONDS = 150;
+/** Pause after which nobody knows whether the quorum goes on, ms: nearly two elections. */
+const DOUBTED_PAUSE_MILLISECONDS = 500;
 /** Least pace that is reckoned with, bytes a second: a quorum that stalls. */
 const LEAST_PACE = 100_000;
 /** Least and longest time after which a refused asker should come back, ms. */
@@ -86,16 +94,21 @@
  * ```
  */
 export class ProposalGate {
-  /** Cost of the commits of the last parts of the pace's time, by part. */
-  readonly #commits = new Map<number, number>();
+  /** Commits of the last while of the pace's time, oldest first. */
+  #commits: CommitAt[] = [];
+  #committed = 0;
+  /** Time of the pace at the newest commit, ms, and when that was. */
+  #paceTime = 0;
+  #committedAt = -Infinity;
 
   /** Counts the cost of entries that a quorum has. */
   noteCommitted(cost: number, now: number): void {
-    const part = findPart(now);
-    this.#commits.set(part, (this.#commits.get(part) ?? 0) + cost);
-    for (const known of this.#commits.keys()) {
-      if (known <= part - PACE_PARTS) this.#commits.delete(known);
-    }
+    if (cost <= 0) return;
+    this.#paceTime = this.#findPaceTime(now);
+    this.#committedAt = now;
+    this.#commits.push({ cost, paceTime: this.#paceTime });
+    this.#committed += cost;
+    this.#dropOld(this.#paceTime);
   }
 
   /**
@@ -125,15 +138,30 @@
 
   /** Cost that got a quorum in the last while, bytes a second. */
   #findPace(now: number): number {
-    const oldest = findPart(now) - PACE_PARTS;
-    let committed = 0;
-    for (const [part, cost] of this.#commits) {
-      if (part > oldest) committed += cost;
+    this.#dropOld(this.#findPaceTime(now));
+    return Math.max(LEAST_PACE, this.#committed * 1_000 / PACE_MILLISECONDS);
+  }
+
+  #dropOld(paceTime: number): void {
+    const since = paceTime - PACE_MILLISECONDS;
+    let old = 0;
+    for (const commit of this.#commits) {
+      if (commit.paceTime > since) break;
+      this.#committed -= commit.cost;
+      old++;
     }
-    return Math.max(LEAST_PACE, committed * 1_000 / PACE_MILLISECONDS);
+    if (old > 0) this.#commits = this.#commits.slice(old);
+  }
+
+  #findPaceTime(now: number): number {
+    if (this.#committedAt === -Infinity) return 0;
+    const pause = Math.max(0, now - this.#committedAt);
+    return this.#paceTime + Math.min(pause, LONGEST_PAUSE_MILLISECONDS) +
+      Math.max(0, pause - DOUBTED_PAUSE_MILLISECONDS);
   }
 }
 
-function findPart(now: number): number {
-  return Math.floor(now * PACE_PARTS / PACE_MILLISECONDS);
+interface CommitAt {
+  readonly cost: number;
+  readonly paceTime: number;
 }
