--- a/packages/consensus/src/group/peer_progress.ts
+++ b/packages/consensus/src/group/peer_progress.ts
@@ -1,6 +1,6 @@
 /** What a leader knows of one other member. */
 
-import type { Member } from "@mallowlift/core";
+import { type Member, MEMBER_ROLES } from "@mallowlift/core";
 import { MOST_MESSAGE_BYTES } from "./message_size.ts";
 
 /** Progress of one member, kept by the leader. */
@@ -36,3 +36,13 @@
     this.heardAt = options.now;
   }
 }
+
+/** True if the member votes. */
+export function isVoter(peer: PeerProgress): boolean {
+  return peer.member.role === MEMBER_ROLES.VOTER;
+}
+
+/** True for a spare that gets no entries. */
+export function isCold(peer: PeerProgress): boolean {
+  return !isVoter(peer) && !peer.isWarm;
+}
--- a/packages/consensus/src/replica_groups.ts
+++ b/packages/consensus/src/replica_groups.ts
@@ -1,7 +1,6 @@
 /** All groups of one replica: founding, joining, keeping members, handlers. */
 
 import { mkdirSync } from "node:fs";
-import { performance } from "node:perf_hooks";
 import {
   ABORTED,
   fail,
@@ -14,19 +13,14 @@
   type Metrics,
   type Outcome,
   RESULT_CODES,
-  sleep,
 } from "@mallowlift/core";
 import type { HandlerTable, PeerLinks } from "@mallowlift/transport";
 import { Ok } from "ts-results";
 import { decideFounding, type FoundingDecision } from "./founding/founding.ts";
 import type { ReplicaSource } from "./founding/replica_source.ts";
 import type { GroupTiming } from "./group/group_options.ts";
-import { isSameReplica } from "./group/membership.ts";
-import {
-  addLearner,
-  type MemberHealth,
-  planMembers,
-} from "./group/membership_keeper.ts";
+import { keepJoined, takeIn } from "./group/joining.ts";
+import { keepMembers } from "./group/keep_members.ts";
 import { ReplicatedGroup } from "./group/replicated_group.ts";
 import type {
   LeadershipListener,
@@ -35,10 +29,6 @@
 import { DataFolder } from "./storage/data_folder.ts";
 import { waitUntilWritable } from "./storage/wait_until_writable.ts";
 
-/** Time between two looks at the members, ms. */
-const KEEP_MILLISECONDS = 300;
-const JOIN_TIMEOUT_MILLISECONDS = 2_000;
-
 /** What one group replicates, and who hears of its leadership. */
 export interface GroupDefinition {
   readonly group: number;
@@ -104,11 +94,19 @@
       const group = this.#createGroup(definition, folder);
       this.#groups.set(definition.group, group);
       group.start();
-      void this.#keepMembers(group);
-      void this.#keepJoined(group);
+      this.#startTasks(group, folder);
     }
   }
 
+  #startTasks(group: ReplicatedGroup, folder: DataFolder): void {
+    const { replicas, timing, links, logger } = this.#options;
+    const { signal } = this.#stopped;
+    const { identity } = folder;
+    void keepMembers(group, { identity, replicas, timing, logger, signal });
+    const self = this.#describeSelf(folder);
+    void keepJoined(group, { self, replicas, links, timing, signal });
+  }
+
   /** Incarnation of the data folder. */
   get incarnation(): string {
     return this.#folder?.identity.incarnation ?? "";
@@ -267,57 +265,6 @@
     };
   }
 
-  /** Asks to be taken in, for as long as no leader counts this replica. */
-  async #keepJoined(group: ReplicatedGroup): Promise<void> {
-    const self = this.#describeSelf(this.#getFolder());
-    const patience = 4 * this.#options.timing.electionMilliseconds;
-    while (!this.#stopped.signal.aborted) {
-      await sleep(KEEP_MILLISECONDS, this.#stopped.signal);
-      const isMember = group.membership.find(self) !== undefined;
-      // A cold spare was not sent the entry by which it was taken in; each ask
-      // would be another one.
-      const isCounted = isMember || group.isCold;
-      const isHeard = group.findSilence(performance.now()) < patience;
-      if (isCounted && isHeard) continue;
-      if (this.#options.replicas.listRetiring().has(self.incarnation)) continue;
-      for (const replica of this.#options.replicas.list()) {
-        if (replica.replicaId === self.replicaId) continue;
-        const link = this.#options.links.get(replica.address);
-        const joined = await link.call(
-          "consensus.join",
-          { group: group.group, member: self, knowsItself: isMember },
-          { timeoutMilliseconds: JOIN_TIMEOUT_MILLISECONDS },
-        );
-        if (joined.ok) break;
-      }
-    }
-  }
-
-  /** Promotes and replaces members while this replica leads. */
-  async #keepMembers(group: ReplicatedGroup): Promise<void> {
-    const { timing, replicas } = this.#options;
-    while (!this.#stopped.signal.aborted) {
-      await sleep(KEEP_MILLISECONDS, this.#stopped.signal);
-      if (!group.isLeading) continue;
-      const retiring = replicas.listRetiring();
-      const health = this.#describeHealth(group);
-      const planned = planMembers(health, {
-        voterCount: replicas.voterCount,
-        standbyMilliseconds: timing.standbyMilliseconds,
-        freshMilliseconds: 2 * timing.electionMilliseconds,
-        retiring,
-      });
-      if (planned === undefined) {
-        if (isLeaderToLeave(health, { retiring, replicas })) {
-          await group.handOver();
-        }
-        continue;
-      }
-      await group.changeMembers(planned);
-      this.#options.logger.info("Members changed", { group: group.group });
-    }
-  }
-
   async #handleJoin(
     group: ReplicatedGroup,
     request: JoinRequest,
@@ -326,58 +273,6 @@
     if (retiring.has(request.member.incarnation)) {
       return fail(RESULT_CODES.DRAINING, "This replica is being retired");
     }
-    return await handleJoin(group, request);
-  }
-
-  #describeHealth(group: ReplicatedGroup): readonly MemberHealth[] {
-    const now = performance.now();
-    const lag = group.leadership?.describeLag(now) ?? [];
-    const identity = this.#getFolder().identity;
-    return group.membership.members.map((member) => {
-      const self = isSameReplica(member, identity);
-      const known = lag.find((peer) => peer.replicaId === member.replicaId);
-      return {
-        member,
-        self,
-        // What is caught up by chance on an idle site gets no vote either.
-        lag: self ? 0 : known?.isFed === true ? known.entries : Infinity,
-        silentMilliseconds: self ? 0 : known?.silentMilliseconds ?? Infinity,
-      };
-    });
-  }
-}
-
-/** True if this leader is the last one that keeps a retirement from its end. */
-function isLeaderToLeave(
-  health: readonly MemberHealth[],
-  options: {
-    readonly retiring: ReadonlySet<string>;
-    readonly replicas: ReplicaSource;
-  },
-): boolean {
-  const voters = health.filter(({ member }) =>
-    member.role === MEMBER_ROLES.VOTER
-  );
-  const self = voters.find((known) => known.self);
-  return self !== undefined &&
-    options.retiring.has(self.member.incarnation) &&
-    voters.length > options.replicas.voterCount;
-}
-
-async function handleJoin(
-  group: ReplicatedGroup,
-  request: JoinRequest,
-): Promise<Outcome<Record<string, never>>> {
-  if (!group.isLeading) {
-    return fail(RESULT_CODES.NOT_LEADER, "This replica does not lead");
+    return await takeIn(group, request);
   }
-  const confirmed = await group.confirmLeadership();
-  if (confirmed.err) return confirmed;
-  const { members: present } = group.membership;
-  const isKnown = group.membership.find(request.member) !== undefined;
-  if (isKnown && request.knowsItself) return Ok({});
-  // A founder that has missed the founding learns of the members by an entry.
-  const members = isKnown ? present : addLearner(present, request.member);
-  const changed = await group.changeMembers(members);
-  return changed.ok ? Ok({}) : changed;
 }
--- a/packages/consensus/src/storage/data_folder.ts
+++ b/packages/consensus/src/storage/data_folder.ts
@@ -8,6 +8,7 @@
   type LogEntry,
   type Member,
   type ReplicaIdentity,
+  TurnQueue,
   waitAtMost,
 } from "@mallowlift/core";
 import { replaceFile } from "./durable_file.ts";
@@ -50,7 +51,7 @@
   readonly snapshots: SnapshotStore;
   readonly #stored = new Map<number, StoredGroup>();
   readonly #snapshotIndexes = new Map<number, number>();
-  #lastTurn: Promise<void> = Promise.resolve();
+  readonly #snapshotTurns = new TurnQueue();
 
   private constructor(path: string, identity: ReplicaIdentity) {
     this.identity = identity;
@@ -115,7 +116,7 @@
 
   /** Saves a snapshot of the own state and drops what it makes superfluous. */
   async saveSnapshot(snapshot: SnapshotContent): Promise<void> {
-    await this.#inTurn(async () => {
+    await this.#snapshotTurns.run(async () => {
       if (!await this.#saveIfNewer(snapshot)) return;
       await this.log.prune(this.#snapshotIndexes);
     });
@@ -125,7 +126,7 @@
   async installSnapshot(snapshot: Snapshot): Promise<void> {
     const { state, ...point } = snapshot;
     const { group, lastIndex } = point;
-    await this.#inTurn(async () => {
+    await this.#snapshotTurns.run(async () => {
       if (!await this.#saveIfNewer({ ...point, parts: [state] })) return;
       // Pruning waits for the reset: until then the entry at the snapshot's
       // index is needed to tell whether later entries follow from it.
@@ -136,16 +137,10 @@
 
   /** Waits a while for a snapshot that is being written, then closes the log. */
   async close(): Promise<void> {
-    await waitAtMost(this.#lastTurn, CLOSE_MILLISECONDS);
+    await waitAtMost(this.#snapshotTurns.idle, CLOSE_MILLISECONDS);
     await this.log.close();
   }
 
-  async #inTurn(work: () => Promise<void>): Promise<void> {
-    const turn = this.#lastTurn.then(work);
-    this.#lastTurn = turn.catch(() => undefined);
-    await turn;
-  }
-
   async #saveIfNewer(snapshot: SnapshotContent): Promise<boolean> {
     const known = this.#snapshotIndexes.get(snapshot.group) ?? -1;
     if (snapshot.lastIndex <= known) return false;
--- a/packages/core/src/mod.ts
+++ b/packages/core/src/mod.ts
@@ -4,6 +4,7 @@
 export * from "./result/result_codes.ts";
 export * from "./result/coded_error.ts";
 export * from "./shared/sleep.ts";
+export * from "./shared/turn_queue.ts";
 export * from "./shared/wake_signal.ts";
 export * from "./shared/digest.ts";
 export * from "./shared/program_ids.ts";
--- /dev/null
+++ b/packages/core/src/shared/turn_queue_test.ts
@@ -0,0 +1,20 @@
+import { setTimeout as sleep } from "node:timers/promises";
+import { test } from "tap";
+import { TurnQueue } from "./turn_queue.ts";
+
+test("work is done one piece after the other, also after one that failed", async (t) => {
+  const queue = new TurnQueue();
+  const steps: string[] = [];
+  const work = (name: string, isFailing = false) => async () => {
+    steps.push(`${name} begins`);
+    await sleep(1);
+    steps.push(`${name} ends`);
+    if (isFailing) throw new Error(name);
+  };
+  const first = queue.run(work("first", true));
+  const second = queue.run(work("second"));
+  await t.rejects(first, { message: "first" });
+  await second;
+  await queue.idle;
+  t.same(steps, ["first begins", "first ends", "second begins", "second ends"]);
+});
