A pause counts for 200 ms of the pace's time, not 150

A quorum whose answers come in batches 160 ms apart is reckoned with nearly twice its pace at 150, which lets more in than it can decide; at 200 less so. The drawn pauses of 200 to 450 ms still refuse nobody.

--- a/packages/consensus/src/group/proposal_gate.ts
+++ b/packages/consensus/src/group/proposal_gate.ts
@@ -54,7 +54,7 @@
  * the pace a fifth of what it was, and nearly all that came was refused; of 100
  * pauses of 200 to 450 ms none refuses any now (simulated without a network).
  */
-const LONGEST_PAUSE_MILLISECONDS = 150;
+const LONGEST_PAUSE_MILLISECONDS = 200;
 /** Pause after which nobody knows whether the quorum goes on, ms: nearly two elections. */
 const DOUBTED_PAUSE_MILLISECONDS = 500;
 /** Least pace that is reckoned with, bytes a second: a quorum that stalls. */
