--- a/packages/consensus/src/group/peer_replication.ts
+++ b/packages/consensus/src/group/peer_replication.ts
@@ -170,8 +170,7 @@
 
   /**
    * Time between two heartbeats to a member, ms. A spare elects nobody: it is
-   * to know that there is a leader, and the leader that it is there. On an idle
-   * site of 8 stores that leaves half of the leader's messages.
+   * to know that there is a leader, and the leader that it is there.
    */
   #findHeartbeat(): number {
     const { timing } = this.#parts.options;
