--- a/packages/bench/src/gateways/gateway_site.ts
+++ b/packages/bench/src/gateways/gateway_site.ts
@@ -46,6 +46,8 @@
   readonly listMilliseconds?: number;
   /** Time between two exchanges of the directory, ms; a test is in a hurry. */
   readonly directoryMilliseconds?: number;
+  /** Largest internal frame, bytes; usually as the settings have it. */
+  readonly maxFrameBytes?: number;
 }
 
 /** Gateways and stores with an instance list in a file. */
@@ -232,6 +234,9 @@
         shared_key: `${SITE_KEY}-${this.#key}`,
         seeds: this.#seeds,
         directory_milliseconds: this.#plan.directoryMilliseconds ?? 200,
+        ...(this.#plan.maxFrameBytes === undefined
+          ? {}
+          : { max_frame_bytes: this.#plan.maxFrameBytes }),
       },
       gateway: {
         callers_listen: `127.0.0.1:${callers}`,
--- a/packages/bench/src/gateways/start_test_site.ts
+++ b/packages/bench/src/gateways/start_test_site.ts
@@ -17,6 +17,8 @@
   readonly waitMilliseconds?: number;
   /** Puts a proxy before each daemon and each upstream. */
   readonly proxied?: boolean;
+  /** Largest internal frame, bytes; usually as the settings have it. */
+  readonly maxFrameBytes?: number;
 }
 
 /** A site that runs. */
@@ -43,6 +45,7 @@
   plan: TestSitePlan = {},
 ): Promise<TestSite> {
   const { gateways = 1, stores = 3, waitMilliseconds, proxied } = plan;
+  const { maxFrameBytes } = plan;
   const upstreams = Array.from(
     { length: plan.upstreams ?? 1 },
     (_, index) => new OpaqueUpstream(`u-${index + 1}`),
@@ -50,7 +53,15 @@
   for (const upstream of upstreams) await upstream.start();
   const folder = t.testdir();
   const site = await GatewaySite.start(
-    { folder, gateways, stores, upstreams, waitMilliseconds, proxied },
+    {
+      folder,
+      gateways,
+      stores,
+      upstreams,
+      waitMilliseconds,
+      proxied,
+      maxFrameBytes,
+    },
     TEST_DOCUMENT,
   );
   t.teardown(async () => {
