--- a/packages/gateway/src/site/document_follower.ts
+++ b/packages/gateway/src/site/document_follower.ts
@@ -62,7 +62,7 @@
 
   /** Takes a document that a leader of an earlier release has told whole. */
   take(document: RoutingDocument): void {
-    if (document.version > this.#inForce) this.#putInForce(document);
+    this.#putInForce(document);
   }
 
   /** Ends reading. */
@@ -104,6 +104,8 @@
   }
 
   #putInForce(document: RoutingDocument, read: object = {}): void {
+    // One that was told whole may have overtaken one that was being read.
+    if (document.version <= this.#inForce) return;
     this.#routes = new RouteTable(document);
     this.#changed.wake();
     const { version, routes } = document;
