--- a/packages/consensus/src/group/applier.ts
+++ b/packages/consensus/src/group/applier.ts
@@ -16,6 +16,7 @@
 import type { EntryStore } from "./entry_store.ts";
 import type { GroupOptions } from "./group_options.ts";
 import { findCost, LARGE_COST, type WaitingEntries } from "./proposal_gate.ts";
+import { noteSnapshot, SNAPSHOT_KINDS } from "./snapshot_times.ts";
 
 /** Least part of the entries of the settings after which a snapshot is taken. */
 const LEAST_SNAPSHOT_SHARE = 0.5;
@@ -130,6 +131,7 @@
   async install(snapshot: Snapshot): Promise<void> {
     const { lastIndex, lastTerm, members, state } = snapshot;
     if (lastIndex <= this.#commitIndex) return;
+    const startedAt = performance.now();
     await this.#options.folder.installSnapshot(snapshot);
     if (lastIndex <= this.#commitIndex) return;
     this.#store.reset(lastIndex, lastTerm, { members });
@@ -137,9 +139,15 @@
     this.#commitIndex = lastIndex;
     this.#appliedIndex = lastIndex;
     this.#snapshotIndex = lastIndex;
+    const milliseconds = performance.now() - startedAt;
+    noteSnapshot(this.#options, {
+      kind: SNAPSHOT_KINDS.INSTALLED,
+      milliseconds,
+    });
     this.#options.logger.info("Snapshot installed", {
       group: snapshot.group,
       lastIndex,
+      milliseconds: Math.round(milliseconds),
     });
   }
 
@@ -192,10 +200,12 @@
     this.#snapshotIndex = lastIndex;
     this.#dropEntries();
     this.#snapshotting = false;
+    const milliseconds = performance.now() - startedAt;
+    noteSnapshot(this.#options, { kind: SNAPSHOT_KINDS.WRITTEN, milliseconds });
     this.#options.logger.info("Snapshot taken", {
       group,
       lastIndex,
-      milliseconds: Math.round(performance.now() - startedAt),
+      milliseconds: Math.round(milliseconds),
     });
   }
 }
--- a/packages/consensus/src/group/peer_replication.ts
+++ b/packages/consensus/src/group/peer_replication.ts
@@ -15,7 +15,9 @@
 import type { GroupLog } from "./group_log.ts";
 import type { GroupOptions } from "./group_options.ts";
 import { isCold, isVoter, type PeerProgress } from "./peer_progress.ts";
+import type { StoredSnapshot } from "../storage/snapshot_store.ts";
 import { sendSnapshot } from "./send_snapshot.ts";
+import { noteSnapshot, SNAPSHOT_KINDS } from "./snapshot_times.ts";
 import { findSpareWait } from "./spare_pace.ts";
 
 const RETRY_MILLISECONDS = 20;
@@ -274,7 +276,8 @@
     const { options, leadership, onHigherTerm } = this.#parts;
     const snapshot = await options.folder.snapshots.open(options.group);
     if (snapshot === undefined) return await sleep(RETRY_MILLISECONDS);
-    peer.sentAt = performance.now();
+    const startedAt = performance.now();
+    peer.sentAt = startedAt;
     const reply = await sendSnapshot(snapshot, {
       caller: this.#caller,
       term: leadership.term,
@@ -293,10 +296,23 @@
     }
     if (reply.val.term > leadership.term) return onHigherTerm(reply.val.term);
     peer.heardAt = performance.now();
+    this.#noteSent(snapshot, performance.now() - startedAt);
     const { lastIndex } = snapshot.point;
     peer.matchIndex = Math.max(peer.matchIndex, lastIndex);
     peer.nextIndex = peer.matchIndex + 1;
   }
+
+  #noteSent({ point, size }: StoredSnapshot, milliseconds: number): void {
+    const { options } = this.#parts;
+    noteSnapshot(options, { kind: SNAPSHOT_KINDS.SENT, milliseconds });
+    options.logger.info("Snapshot sent", {
+      group: options.group,
+      to: this.#peer.member.replicaId,
+      lastIndex: point.lastIndex,
+      bytes: size,
+      milliseconds: Math.round(milliseconds),
+    });
+  }
 }
 
 function sumBytes(entries: readonly LogEntry[]): number {
--- /dev/null
+++ b/packages/consensus/src/group/snapshot_times.ts
@@ -0,0 +1,32 @@
+/** How long snapshots take, as metrics. */
+
+import type { GroupOptions } from "./group_options.ts";
+
+/** What was done with a snapshot. */
+export const SNAPSHOT_KINDS = {
+  WRITTEN: "written",
+  INSTALLED: "installed",
+  SENT: "sent",
+} as const;
+
+/** One of {@linkcode SNAPSHOT_KINDS}. */
+export type SnapshotKind = typeof SNAPSHOT_KINDS[keyof typeof SNAPSHOT_KINDS];
+
+/**
+ * Counts one snapshot.
+ *
+ * @example
+ * ```ts
+ * noteSnapshot(options, { kind: SNAPSHOT_KINDS.SENT, milliseconds: 900 });
+ * ```
+ */
+export function noteSnapshot(
+  options: Pick<GroupOptions, "group" | "metrics">,
+  done: { readonly kind: SnapshotKind; readonly milliseconds: number },
+): void {
+  const { group, metrics } = options;
+  metrics.snapshotSeconds.observe(
+    { group, kind: done.kind },
+    done.milliseconds / 1_000,
+  );
+}
--- a/packages/core/src/metrics/metrics.ts
+++ b/packages/core/src/metrics/metrics.ts
@@ -25,6 +25,8 @@
   60,
 ];
 
+const SNAPSHOT_BUCKETS = [0.05, 0.25, 1, 2.5, 5, 10, 20, 60];
+
 /**
  * Time between two looks at the lag of the event loop, ms. The library's own
  * 10 ms wake an idle process a hundred times a second; four looks a second
@@ -43,6 +45,7 @@
   readonly leading: Gauge<"group">;
   readonly waitingEntries: Gauge<"group">;
   readonly leadershipEnds: Counter<"group" | "reason">;
+  readonly snapshotSeconds: Histogram<"group" | "kind">;
   readonly votes: Counter<"group" | "outcome">;
   readonly proposals: Counter<"kind">;
   readonly repeatedAsks: Counter<"kind">;
@@ -118,6 +121,13 @@
       labelNames: ["group", "reason"],
       registers,
     }),
+    snapshotSeconds: new Histogram({
+      name: "mallowlift_snapshot_seconds",
+      help: "Time to write, to install or to send a snapshot",
+      labelNames: ["group", "kind"],
+      buckets: SNAPSHOT_BUCKETS,
+      registers,
+    }),
     votes: new Counter({
       name: "mallowlift_votes_total",
       help: "Votes that this replica was asked for, by what became of them",
--- a/packages/gateway/src/calls/run_turn.ts
+++ b/packages/gateway/src/calls/run_turn.ts
@@ -139,6 +139,7 @@
   if (code === RESULT_CODES.LEADER_BUSY) {
     return refuseForLoad(call, parts, error);
   }
+  countRefusal(parts.metrics, "turns", code);
   // The reserve may have been made although nobody said so.
   settleTurn(call, parts, { events: 0 });
   parts.logger.info("Turn refused", {
