The instance list comes from any store once it is stale

What callers saw: requests reached upstreams 4.2 s after these had been listed as leaving; the bound is 4 s.

Cause: only the leader of the stores reads the list, and gateways got it in the leader's answers alone. Without a leader for longer than the bound less one reading, every gateway routes by a list that is too old, for as long as that lasts.

In the report no gateway had a leader for 2.5 s when the calls arrived. Ruled out: a call that waited on its way (0.14 and 0.27 s from the client to the upstream).

Why this works: the list is not part of the replicated state, so it needs neither leader nor quorum. A gateway whose list is older than 2 s asks the stores, two at a time, in an order that all gateways share; a store reads the list if its own reading is older than half of that. A gateway never goes back to an earlier reading, and tells the leader the age of its list: a leader that cannot read the source neither replaces a younger list nor answers a held request in a loop.

--- a/packages/bench/src/gateways/leaving_upstream_test.ts
+++ b/packages/bench/src/gateways/leaving_upstream_test.ts
@@ -3,22 +3,27 @@
 import { callGateway } from "./gateway_caller.ts";
 import { startTestSite, type TestSite } from "./start_test_site.ts";
 
-/** Calls in a row by which an upstream of two counts as unused. */
-const UNUSED_CALLS = 20;
+/** Calls by which an upstream of two counts as unused. */
+const CALLS_AT_ONCE = 20;
 /** Longest wait for the gateway to learn of it, also on a busy machine. */
 const LIMIT_MILLISECONDS = 30_000;
 const PAUSE_MILLISECONDS = 100;
 
-/** True if none of the calls reaches the first upstream, and all are answered. */
+/**
+ * True if none of the calls reaches the first upstream, and all are answered.
+ * They are made at once: single calls stay with the upstream whose connection
+ * is open.
+ */
 async function isUnused({ url, upstreams }: TestSite): Promise<boolean> {
   const [leaving] = upstreams;
   const before = leaving?.runs.length;
-  for (let call = 0; call < UNUSED_CALLS; call++) {
+  const calls = Array.from({ length: CALLS_AT_ONCE }, (_, call) => {
     const callId = `${before}-${call}-${Date.now()}`;
-    const seen = await callGateway(url, { callId, path: "/read/x" });
-    if (seen.status !== 200 || leaving?.runs.length !== before) return false;
-  }
-  return true;
+    return callGateway(url, { callId, path: "/read/x" });
+  });
+  const seen = await Promise.all(calls);
+  return seen.every(({ status }) => status === 200) &&
+    leaving?.runs.length === before;
 }
 
 // Guards against calls to an upstream that left while the stores had no leader.
--- a/packages/core/src/metrics/metrics.ts
+++ b/packages/core/src/metrics/metrics.ts
@@ -56,6 +56,8 @@
   readonly cachedTokens: Counter;
   readonly promptTokens: Counter;
   readonly strangeInstances: Counter<"reason">;
+  readonly instanceListReadAt: Gauge;
+  readonly instanceListReads: Counter<"outcome">;
   readonly malformedFrames: Counter<"reason">;
   readonly stoodStillSeconds: Counter;
   readonly peerBytes: Counter<"direction">;
@@ -194,6 +196,17 @@
       labelNames: ["reason"],
       registers,
     }),
+    instanceListReadAt: new Gauge({
+      name: "mallowlift_instance_list_read_at_seconds",
+      help: "When the instance list in force was read, Unix time",
+      registers,
+    }),
+    instanceListReads: new Counter({
+      name: "mallowlift_instance_list_reads_total",
+      help: "Times that a store was asked for a stale list, by result code",
+      labelNames: ["outcome"],
+      registers,
+    }),
     malformedFrames: new Counter({
       name: "mallowlift_malformed_frames_total",
       help: "Internal connections closed for what was sent on them",
--- a/packages/core/src/settings/schema.ts
+++ b/packages/core/src/settings/schema.ts
@@ -304,6 +304,10 @@
       "Time without a word from the leader after which the gateway is not ready.",
       { fallback: 2_500, least: 100, most: 60_000 },
     ),
+    listStaleMilliseconds: numberField(
+      "Age of the instance list from which the gateway asks any store for it.",
+      { fallback: 2_000, least: 100, most: 60_000 },
+    ),
     historyBytes: numberField(
       "Memory for turns that the gateway has seen lately.",
       { fallback: 16_777_216, least: 0, most: 4_294_967_296 },
--- a/packages/core/src/types/internal_handlers.ts
+++ b/packages/core/src/types/internal_handlers.ts
@@ -41,9 +41,11 @@
   FollowRequest,
   FoundingClaim,
   FoundingGrant,
+  InstanceListReply,
   NewestDocument,
   PutDocumentPart,
   ReadDocumentPart,
+  ReadInstanceList,
   RetireState,
   RetireStore,
   TurnBegun,
@@ -229,6 +231,7 @@
   "directory.compare": Signature<DirectoryComparison, DirectoryDifference>;
   "directory.claim": Signature<FoundingClaim, FoundingGrant>;
   "site.follow": Signature<FollowRequest, FollowReply>;
+  "instances.read": Signature<ReadInstanceList, InstanceListReply>;
   "document.put": Signature<PutDocumentPart, DocumentProgress>;
   "document.read": Signature<ReadDocumentPart, DocumentPart>;
   "document.newest": Signature<Nothing, NewestDocument>;
--- a/packages/core/src/types/site.ts
+++ b/packages/core/src/types/site.ts
@@ -58,6 +58,8 @@
   readonly documentVersion: number;
   /** Revision of the instance list that the gateway has; empty if none. */
   readonly listRevision: string;
+  /** Time since that list was read; Infinity if none, missing in earlier releases. */
+  readonly listAgeMilliseconds?: number;
   /** How long the leader may wait for a change. */
   readonly holdMilliseconds: number;
 }
@@ -69,6 +71,22 @@
   readonly instances: readonly UpstreamInstance[];
 }
 
+/** Asks any store for the instance list, whether or not it leads. */
+export interface ReadInstanceList {
+  /** Revision that the gateway has; empty if none. */
+  readonly revision: string;
+  /** A list that was read longer ago is read again for the answer, ms. */
+  readonly maxAgeMilliseconds: number;
+}
+
+/** Answer to a {@linkcode ReadInstanceList}. */
+export interface InstanceListReply {
+  /** Missing if the gateway has this revision, or if there is none. */
+  readonly list?: InstanceList;
+  /** Time since the list was read; -1 if it never was. */
+  readonly listAgeMilliseconds: number;
+}
+
 /**
  * Answer to a {@linkcode FollowRequest}; what has not changed is missing. Of the
  * document it tells the version only: its bytes are fetched beside.
--- a/packages/gateway/src/gateway_role.ts
+++ b/packages/gateway/src/gateway_role.ts
@@ -24,6 +24,7 @@
   createOperatorServer,
   SiteOrders,
 } from "./operators/operator_server.ts";
+import { InstanceListFollower } from "./site/instance_list_follower.ts";
 import { SiteClient } from "./site/site_client.ts";
 import { SiteFollower } from "./site/site_follower.ts";
 import { PromptMemory } from "./upstreams/prompt_memory.ts";
@@ -56,6 +57,7 @@
   readonly name = "gateway";
   readonly #options: GatewayRoleOptions;
   readonly #follower: SiteFollower;
+  readonly #lists: InstanceListFollower;
   readonly #upstreams: UpstreamTable;
   readonly #callers: CallerServer;
   readonly #operators: Server;
@@ -74,10 +76,17 @@
       callMilliseconds: gateway.storeCallMilliseconds,
     });
     this.#upstreams = new UpstreamTable(random, settings.daemon.failureDomain);
+    this.#lists = new InstanceListFollower({
+      client,
+      upstreams: this.#upstreams,
+      staleMilliseconds: gateway.listStaleMilliseconds,
+      logger: logger.forPart("follower"),
+      metrics,
+    });
     this.#follower = new SiteFollower({
       name: settings.daemon.name,
       client,
-      upstreams: this.#upstreams,
+      lists: this.#lists,
       holdMilliseconds: gateway.followMilliseconds,
       logger: logger.forPart("follower"),
     });
@@ -91,7 +100,7 @@
       metrics,
       countGateways: () => this.#countGateways(performance.now()),
       random,
-      findListAge: (now) => this.#follower.findListAge(now),
+      findListAge: (now) => this.#lists.findAge(now),
       client,
       cache: new TurnCache(gateway.historyBytes),
     };
@@ -106,7 +115,7 @@
       waitMilliseconds: gateway.leaderWaitMilliseconds,
       run: (call) => this.#run(call),
       random,
-      findListAge: (now) => this.#follower.findListAge(now),
+      findListAge: (now) => this.#lists.findAge(now),
       logger: logger.forPart("calls"),
       metrics,
     });
@@ -137,6 +146,7 @@
   /** Starts to follow the site and to serve. */
   async start(): Promise<void> {
     await this.#follower.start();
+    await this.#lists.start();
     await this.#operators.start();
     await this.#callers.start();
     this.#sweeper = setInterval(() => this.#sweep(), SWEEP_MILLISECONDS);
@@ -153,6 +163,7 @@
         : daemon.stopMilliseconds,
     });
     await Promise.race([this.#operators.stop({ timeout: 100 }), sleep(200)]);
+    await this.#lists.stop();
     await this.#follower.stop();
     clearInterval(this.#sweeper);
     for (const upstream of this.#upstreams.list()) upstream.closeResting();
--- /dev/null
+++ b/packages/gateway/src/site/instance_list_follower.ts
@@ -0,0 +1,161 @@
+/** Keeps the upstreams of a gateway those of the newest instance list that a store can tell. */
+
+import { performance } from "node:perf_hooks";
+import {
+  ABORTED,
+  type Child,
+  hashText,
+  type InstanceListReply,
+  type Logger,
+  type Metrics,
+  sleep,
+} from "@mallowlift/core";
+import type { UpstreamTable } from "../upstreams/upstream_table.ts";
+import type { SiteClient } from "./site_client.ts";
+
+/** Longest wait for one store: it may have to read the list first. */
+const STORE_TIMEOUT_MILLISECONDS = 400;
+/** Stores that are asked at once, so that one that is gone delays nothing. */
+const STORES_AT_ONCE = 2;
+/** Pause after a round in which no store told a fresh list. */
+const RETRY_MILLISECONDS = 200;
+
+/** What the follower works with. */
+export interface InstanceListFollowerOptions {
+  readonly client: Pick<SiteClient, "callStore" | "listStores">;
+  readonly upstreams: Pick<UpstreamTable, "update">;
+  /** Age from which the list is asked for at any store. */
+  readonly staleMilliseconds: number;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+}
+
+/**
+ * Applies the list that comes with the leader's replies, and asks other stores
+ * once it is stale. It never goes back to an earlier reading.
+ *
+ * @example
+ * ```ts
+ * const lists = new InstanceListFollower(options);
+ * await lists.start();
+ * lists.apply({ listAgeMilliseconds: 40, list }, performance.now());
+ * lists.findAge(performance.now()); // 40
+ * ```
+ */
+export class InstanceListFollower implements Child {
+  readonly name = "instances";
+  readonly #options: InstanceListFollowerOptions;
+  readonly #stopped = new AbortController();
+  #revision = "";
+  #readAt = -Infinity;
+  #isStale = false;
+
+  constructor(options: InstanceListFollowerOptions) {
+    this.#options = options;
+  }
+
+  /** Revision of the list in force; empty before the first. */
+  get revision(): string {
+    return this.#revision;
+  }
+
+  /** Time since the list in force was read, ms; Infinity without one. */
+  findAge(now: number): number {
+    return now - this.#readAt;
+  }
+
+  /** Applies a store's reply unless it tells of an earlier reading. */
+  apply(reply: InstanceListReply, now: number): void {
+    const { list, listAgeMilliseconds } = reply;
+    const readAt = now - listAgeMilliseconds;
+    if (listAgeMilliseconds < 0 || readAt < this.#readAt) return;
+    this.#readAt = readAt;
+    this.#options.metrics.instanceListReadAt.set(
+      (performance.timeOrigin + readAt) / 1_000,
+    );
+    if (list === undefined) return;
+    this.#revision = list.revision;
+    this.#options.upstreams.update(list.instances);
+    this.#options.logger.info("Instance list in force", {
+      revision: list.revision,
+      instances: list.instances.length,
+      age_ms: Math.round(listAgeMilliseconds),
+    });
+  }
+
+  /** Starts to watch the age of the list. */
+  start(): Promise<void> {
+    void this.#run();
+    return Promise.resolve();
+  }
+
+  /** Ends watching. */
+  stop(): Promise<void> {
+    this.#stopped.abort(ABORTED);
+    return Promise.resolve();
+  }
+
+  async #run(): Promise<void> {
+    const { signal } = this.#stopped;
+    const { staleMilliseconds } = this.#options;
+    await sleep(staleMilliseconds, signal);
+    while (!signal.aborted) {
+      const now = performance.now();
+      const rest = staleMilliseconds - this.findAge(now);
+      this.#noteState(rest <= 0, now);
+      if (rest > 0) await sleep(rest, signal);
+      else if (!await this.#askStores()) {
+        await sleep(RETRY_MILLISECONDS, signal);
+      }
+    }
+  }
+
+  /** Asks one store after the other for a fresh list; false if none has one. */
+  async #askStores(): Promise<boolean> {
+    const stores = rankStores(this.#options.client.listStores());
+    for (let first = 0; first < stores.length; first += STORES_AT_ONCE) {
+      const asked = stores.slice(first, first + STORES_AT_ONCE);
+      await Promise.all(asked.map((store) => this.#ask(store)));
+      const age = this.findAge(performance.now());
+      if (age < this.#options.staleMilliseconds) return true;
+      if (this.#stopped.signal.aborted) return false;
+    }
+    return false;
+  }
+
+  async #ask(store: string): Promise<void> {
+    const { client, metrics, staleMilliseconds } = this.#options;
+    const reply = await client.callStore(store, "instances.read", {
+      request: {
+        revision: this.#revision,
+        maxAgeMilliseconds: staleMilliseconds / 2,
+      },
+      timeoutMilliseconds: STORE_TIMEOUT_MILLISECONDS,
+    });
+    metrics.instanceListReads.inc({
+      outcome: reply.ok ? "OK" : reply.val.code.name,
+    });
+    if (reply.ok) this.apply(reply.val, performance.now());
+  }
+
+  #noteState(isStale: boolean, now: number): void {
+    if (isStale === this.#isStale) return;
+    this.#isStale = isStale;
+    const age = this.findAge(now);
+    const facts = { age_ms: Number.isFinite(age) ? Math.round(age) : -1 };
+    const { logger } = this.#options;
+    if (isStale) logger.warn("Instance list stale", facts);
+    else logger.info("Instance list fresh", facts);
+  }
+}
+
+/**
+ * Every gateway asks in the same order, so that few stores read the list for
+ * all of them. The order does not follow the names, which often follow failure
+ * domains.
+ */
+function rankStores(stores: readonly string[]): readonly string[] {
+  const ranked = stores.map((store) => ({ store, rank: hashText(store) }));
+  ranked.sort((left, right) => left.rank < right.rank ? -1 : 1);
+  return ranked.map(({ store }) => store);
+}
--- a/packages/gateway/src/site/site_follower.ts
+++ b/packages/gateway/src/site/site_follower.ts
@@ -1,4 +1,4 @@
-/** Follows the routing document and the instance list from the leader. */
+/** Follows the leader: the routing document in force, and the instance list it reads. */
 
 import { performance } from "node:perf_hooks";
 import {
@@ -10,8 +10,8 @@
   WakeSignal,
 } from "@mallowlift/core";
 import type { RouteTable } from "../routing/route_table.ts";
-import type { UpstreamTable } from "../upstreams/upstream_table.ts";
 import { DocumentFollower } from "./document_follower.ts";
+import type { InstanceListFollower } from "./instance_list_follower.ts";
 import type { SiteClient } from "./site_client.ts";
 
 /** Pause after a round in which no leader was found, ms: some round trips. */
@@ -25,7 +25,7 @@
 export interface SiteFollowerOptions {
   readonly name: string;
   readonly client: SiteClient;
-  readonly upstreams: UpstreamTable;
+  readonly lists: InstanceListFollower;
   readonly holdMilliseconds: number;
   readonly logger: Logger;
 }
@@ -37,8 +37,6 @@
   readonly #stopped = new AbortController();
   readonly #documents: DocumentFollower;
   readonly #heard = new WakeSignal();
-  #listRevision = "";
-  #listReadAt = -Infinity;
   #heardAt = -Infinity;
   #hasLost = false;
 
@@ -82,11 +80,6 @@
     return now - this.#heardAt;
   }
 
-  /** Time since the instance list was read, ms. */
-  findListAge(now: number): number {
-    return now - this.#listReadAt;
-  }
-
   /** Starts to follow. */
   start(): Promise<void> {
     void this.#run();
@@ -123,13 +116,14 @@
   }
 
   async #follow(store: string, hold: number): Promise<boolean> {
-    const { client, name } = this.#options;
+    const { client, name, lists } = this.#options;
     const askedAt = performance.now();
     const reply = await client.callStore(store, "site.follow", {
       request: {
         daemon: name,
         documentVersion: this.#documents.toldVersion,
-        listRevision: this.#listRevision,
+        listRevision: lists.revision,
+        listAgeMilliseconds: lists.findAge(askedAt),
         holdMilliseconds: hold,
       },
       timeoutMilliseconds: hold === 0
@@ -149,7 +143,7 @@
 
   #take(store: string, reply: FollowReply, askedAt: number): void {
     const now = performance.now();
-    const { client, logger, upstreams } = this.#options;
+    const { client, logger, lists } = this.#options;
     if (client.leader !== store) {
       logger.info("Leader found", { store, version: reply.documentVersion });
       this.#hasLost = false;
@@ -159,15 +153,7 @@
     if (reply.document !== undefined) this.#documents.take(reply.document);
     this.#documents.note(reply.documentVersion);
     this.#heard.wake();
-    if (reply.listAgeMilliseconds < 0) return;
-    this.#listReadAt = now - reply.listAgeMilliseconds;
-    if (reply.list === undefined) return;
-    this.#listRevision = reply.list.revision;
-    upstreams.update(reply.list.instances);
-    logger.info("Instance list in force", {
-      revision: reply.list.revision,
-      instances: reply.list.instances.length,
-    });
+    lists.apply(reply, now);
   }
 
   #noteLoss(store: string, reason: string): void {
--- a/packages/store/src/instance_reader.ts
+++ b/packages/store/src/instance_reader.ts
@@ -1,12 +1,14 @@
-/** Reads the instance list for the whole site while this store leads. */
+/** Reads the instance list: repeatedly while this store leads, else when a gateway asks for it. */
 
 import { performance } from "node:perf_hooks";
 import {
   ABORTED,
   hashText,
   type InstanceList,
+  type InstanceListReply,
   type Logger,
   type Metrics,
+  type ReadInstanceList,
   RepeatLimit,
   sleep,
   type UpstreamInstance,
@@ -14,10 +16,10 @@
 import type { InstanceSource } from "./instance_source.ts";
 import { keepLaterLives } from "./read_instance.ts";
 
-/** Longest time that one read may take, ms: a slow platform must not stop the next. */
-const READ_MILLISECONDS = 1_500;
+/** Longest time that one read may take: a slow source must not stop the next. */
+const READ_TIMEOUT_MILLISECONDS = 1_500;
 
-/** Least time between two lines on entries that are strange in the same way, ms. */
+/** Least time between two lines on entries that are left out for the same reason. */
 const STRANGE_SPAN_MILLISECONDS = 60_000;
 
 /** What the reader works with. */
@@ -30,13 +32,15 @@
   readonly onChange: () => void;
 }
 
-/** The one reader of the site. */
+/** The reader of one store. */
 export class InstanceReader {
   readonly #options: InstanceReaderOptions;
   readonly #strange = new RepeatLimit(STRANGE_SPAN_MILLISECONDS);
-  #stopped: AbortController | undefined;
+  #polling: AbortController | undefined;
+  /** The read that is under way, which all who want a list share. */
+  #read: Promise<void> | undefined;
   #list: InstanceList | undefined;
-  #readAt = 0;
+  #readAt = -Infinity;
   #isFailing = false;
 
   constructor(options: InstanceReaderOptions) {
@@ -48,43 +52,73 @@
     return this.#list;
   }
 
+  /** When the list was read, by the local clock. */
+  get readAt(): number {
+    return this.#readAt;
+  }
+
   /** Time since the list was read, ms; -1 if it never was. */
   findAge(now: number): number {
     return this.#list === undefined ? -1 : now - this.#readAt;
   }
 
-  /** Starts to read; called when this store starts to lead. */
+  /** Polls the source; called when this store starts to lead. */
   start(): void {
     this.stop();
-    const stopped = new AbortController();
-    this.#stopped = stopped;
-    void this.#run(stopped.signal);
+    const polling = new AbortController();
+    this.#polling = polling;
+    void this.#poll(polling.signal);
   }
 
-  /** Ends reading and forgets the list, which another reader keeps now. */
+  /** Ends polling, and drops the list: another store reads it from now on. */
   stop(): void {
-    this.#stopped?.abort(ABORTED);
-    this.#stopped = undefined;
+    this.#polling?.abort(ABORTED);
+    this.#polling = undefined;
     this.#list = undefined;
   }
 
-  async #run(signal: AbortSignal): Promise<void> {
+  /**
+   * Tells the list, and reads it first if it is older than the request allows.
+   * Needs no leader: the list is not part of the replicated state.
+   */
+  async tell(request: ReadInstanceList): Promise<InstanceListReply> {
+    const age = this.findAge(performance.now());
+    if (age < 0 || age > request.maxAgeMilliseconds) await this.#readOnce();
+    const list = this.#list;
+    return {
+      ...(list === undefined || list.revision === request.revision
+        ? {}
+        : { list }),
+      listAgeMilliseconds: this.findAge(performance.now()),
+    };
+  }
+
+  async #poll(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       const startedAt = performance.now();
-      const read = await this.#options.source.read(
-        AbortSignal.any([signal, AbortSignal.timeout(READ_MILLISECONDS)]),
-        (reason) => this.#noteStrange(reason, startedAt),
-      );
-      if (signal.aborted) return;
-      if (read.ok) this.#take(read.val, startedAt);
-      this.#noteFailure(read.ok ? "" : read.val.message);
+      await this.#readOnce();
       const rest = startedAt + this.#options.intervalMilliseconds -
         performance.now();
       await sleep(Math.max(rest, 0), signal);
     }
   }
 
-  #take(read: readonly UpstreamInstance[], readAt: number): void {
+  async #readOnce(): Promise<void> {
+    this.#read ??= this.#readNow(performance.now())
+      .finally(() => this.#read = undefined);
+    await this.#read;
+  }
+
+  async #readNow(startedAt: number): Promise<void> {
+    const read = await this.#options.source.read(
+      AbortSignal.timeout(READ_TIMEOUT_MILLISECONDS),
+      (reason) => this.#noteStrange(reason, startedAt),
+    );
+    if (read.ok) this.#apply(read.val, startedAt);
+    this.#noteFailure(read.ok ? "" : read.val.message);
+  }
+
+  #apply(read: readonly UpstreamInstance[], readAt: number): void {
     this.#readAt = readAt;
     const instances = keepLaterLives(read, this.#list?.instances ?? []);
     const revision = hashText(JSON.stringify(instances));
@@ -98,7 +132,7 @@
     this.#options.onChange();
   }
 
-  /** A strange entry comes with every reading, and gets a line once in a while. */
+  /** An entry that is left out comes with every reading, and gets a line once in a while. */
   #noteStrange(reason: string, now: number): void {
     const { metrics, logger } = this.#options;
     metrics.strangeInstances.inc({ reason });
--- /dev/null
+++ b/packages/store/src/instance_reader_test.ts
@@ -0,0 +1,88 @@
+import {
+  createMetrics,
+  fail,
+  type Outcome,
+  RESULT_CODES,
+  SILENT_LOGGER,
+  type UpstreamInstance,
+} from "@mallowlift/core";
+import { test } from "tap";
+import { Ok } from "ts-results";
+import { InstanceReader } from "./instance_reader.ts";
+
+const INSTANCE: UpstreamInstance = {
+  id: "u-1",
+  service: "s",
+  address: "127.0.0.1:1",
+  failureDomain: "d",
+  slots: 1,
+  leaving: false,
+};
+
+/** A reader of a source that can fail, and how often the source was read. */
+function createReader() {
+  const source = { reads: 0, fails: false, instances: [INSTANCE] };
+  const read = (): Promise<Outcome<readonly UpstreamInstance[]>> => {
+    source.reads++;
+    return Promise.resolve(
+      source.fails
+        ? fail(RESULT_CODES.UPSTREAM_ERROR, "No list")
+        : Ok(source.instances),
+    );
+  };
+  const reader = new InstanceReader({
+    source: { read },
+    intervalMilliseconds: 60_000,
+    logger: SILENT_LOGGER,
+    metrics: createMetrics(),
+    onChange: () => undefined,
+  });
+  return { reader, source };
+}
+
+test("a store that does not lead reads the list when it is asked for it", async (t) => {
+  const { reader, source } = createReader();
+  const first = await reader.tell({ revision: "", maxAgeMilliseconds: 60_000 });
+  t.same(first.list?.instances, [INSTANCE]);
+  t.ok(first.listAgeMilliseconds >= 0);
+  const revision = first.list?.revision ?? "";
+  const second = await reader.tell({ revision, maxAgeMilliseconds: 60_000 });
+  t.equal(second.list, undefined, "the asker has this revision");
+  t.equal(source.reads, 1, "a fresh list is not read again");
+  await reader.tell({ revision, maxAgeMilliseconds: -1 });
+  t.equal(source.reads, 2, "an old one is");
+});
+
+test("all who ask at once share one read", async (t) => {
+  const { reader, source } = createReader();
+  const request = { revision: "", maxAgeMilliseconds: 1_000 };
+  const replies = await Promise.all([
+    reader.tell(request),
+    reader.tell(request),
+    reader.tell(request),
+  ]);
+  t.equal(source.reads, 1);
+  t.ok(replies.every(({ list }) => list !== undefined));
+});
+
+test("a source that fails leaves the list with its age", async (t) => {
+  const { reader, source } = createReader();
+  source.fails = true;
+  const request = { revision: "", maxAgeMilliseconds: -1 };
+  t.equal((await reader.tell(request)).listAgeMilliseconds, -1);
+  source.fails = false;
+  await reader.tell(request);
+  const { readAt } = reader;
+  source.fails = true;
+  t.same((await reader.tell(request)).list?.instances, [INSTANCE]);
+  t.equal(reader.readAt, readAt);
+});
+
+test("a list from before a leadership is not used in it", async (t) => {
+  const { reader, source } = createReader();
+  await reader.tell({ revision: "", maxAgeMilliseconds: 0 });
+  source.fails = true;
+  reader.start();
+  t.equal(reader.list, undefined);
+  reader.stop();
+});
--- a/packages/store/src/site_owner.ts
+++ b/packages/store/src/site_owner.ts
@@ -17,6 +17,7 @@
   findResultCode,
   type FollowReply,
   type FollowRequest,
+  type InstanceList,
   type Logger,
   type Metrics,
   type Nothing,
@@ -117,14 +118,16 @@
     request: FollowRequest,
     signal: AbortSignal,
   ): Promise<Outcome<FollowReply>> {
-    const { state, reader, changed } = this.#options;
-    const until = performance.now() + request.holdMilliseconds;
+    const { state, changed } = this.#options;
+    const askedAt = performance.now();
+    const until = askedAt + request.holdMilliseconds;
+    const listReadAt = askedAt - (request.listAgeMilliseconds ?? Infinity);
     while (this.#isLeading && !signal.aborted) {
       const now = performance.now();
-      const { list } = reader;
+      const list = this.#findNewerList(request.listRevision, listReadAt);
       const isNew = state.documentVersion > request.documentVersion ||
-        (list !== undefined && list.revision !== request.listRevision);
-      if (isNew || now >= until) return Ok(this.#describeChanges(request, now));
+        list !== undefined;
+      if (isNew || now >= until) return Ok(this.#describeChanges(list, now));
       await changed.wait(until - now);
     }
     return this.#refuse();
@@ -162,18 +165,27 @@
     return result.err ? result : Ok({});
   }
 
-  #describeChanges(request: FollowRequest, now: number): FollowReply {
+  #describeChanges(list: InstanceList | undefined, now: number): FollowReply {
     const { state, reader } = this.#options;
-    const { list } = reader;
     return {
       documentVersion: state.documentVersion,
-      list: list !== undefined && list.revision !== request.listRevision
-        ? list
-        : undefined,
+      list,
       listAgeMilliseconds: reader.findAge(now),
     };
   }
 
+  /** The list of this store unless the gateway's is the same or was read later. */
+  #findNewerList(
+    revision: string,
+    readAt: number,
+  ): InstanceList | undefined {
+    const { reader } = this.#options;
+    const { list } = reader;
+    const isNewer = list !== undefined && list.revision !== revision &&
+      reader.readAt > readAt;
+    return isNewer ? list : undefined;
+  }
+
   /** What a final refusal of a turn was decided on, once in a while a program. */
   #noteRefusedTurn(request: BeginTurn, code: ResultCode): void {
     const { state, logger } = this.#options;
--- a/packages/store/src/store_app.ts
+++ b/packages/store/src/store_app.ts
@@ -1,12 +1,18 @@
 /** The handlers that a store serves to gateways. */
 
 import type { HandlerTable } from "@mallowlift/transport";
+import { Ok } from "ts-results";
+import type { InstanceReader } from "./instance_reader.ts";
 import type { SiteOwner } from "./site_owner.ts";
 
-/** Binds the handlers to the owner. */
-export function createStoreHandlers(owner: SiteOwner): HandlerTable {
+/** Binds the handlers to the owner, and to the reader that needs no leader. */
+export function createStoreHandlers(
+  owner: SiteOwner,
+  reader: InstanceReader,
+): HandlerTable {
   return {
     "site.follow": (request, { signal }) => owner.follow(request, signal),
+    "instances.read": async (request) => Ok(await reader.tell(request)),
     "document.put": (request, { signal }) =>
       owner.documents.putPart(request, signal),
     "document.read": (request) => owner.readDocumentPart(request),
--- a/packages/store/src/store_role.ts
+++ b/packages/store/src/store_role.ts
@@ -39,6 +39,7 @@
   readonly isFatal = true;
   readonly #groups: ReplicaGroups;
   readonly #owner: SiteOwner;
+  readonly #reader: InstanceReader;
 
   constructor(options: StoreRoleOptions) {
     const { settings, logger, metrics, links, directory, task } = options;
@@ -52,18 +53,19 @@
       tolerance: store.tolerance,
       isFirstStart: isYes(store.firstStart),
     });
+    this.#reader = new InstanceReader({
+      source: options.createSource(store.listAddress),
+      intervalMilliseconds: store.listMilliseconds,
+      logger: logger.forPart("instances"),
+      metrics,
+      onChange: () => changed.wake(),
+    });
     this.#owner = new SiteOwner({
       state,
       changed,
       leastStores: replicas.voterCount,
       getGroup: () => this.#groups.get(SITE_GROUP),
-      reader: new InstanceReader({
-        source: options.createSource(store.listAddress),
-        intervalMilliseconds: store.listMilliseconds,
-        logger: logger.forPart("instances"),
-        metrics,
-        onChange: () => changed.wake(),
-      }),
+      reader: this.#reader,
       logger: logger.forPart("owner"),
       metrics,
     });
@@ -96,7 +98,7 @@
   createHandlers(): HandlerTable {
     return {
       ...this.#groups.createHandlers(),
-      ...createStoreHandlers(this.#owner),
+      ...createStoreHandlers(this.#owner, this.#reader),
     };
   }
 
