--- /dev/null
+++ b/packages/consensus/src/group/incoming_snapshot_test.ts
@@ -0,0 +1,48 @@
+import { Buffer } from "node:buffer";
+import type { SnapshotRequest } from "@mallowlift/core";
+import { test } from "tap";
+import { IncomingSnapshot } from "./incoming_snapshot.ts";
+
+function createChunk(
+  text: string,
+  offset: number,
+  changed: Partial<SnapshotRequest> = {},
+): SnapshotRequest {
+  return {
+    group: 0,
+    term: 1,
+    from: { replicaId: "a", incarnation: "a" },
+    toIncarnation: "b",
+    lastIndex: 5,
+    lastTerm: 1,
+    members: [],
+    size: 6,
+    offset,
+    part: Buffer.from(text),
+    last: offset + text.length === 6,
+    ...changed,
+  };
+}
+
+test("chunks that follow each other make up the snapshot", (t) => {
+  const incoming = new IncomingSnapshot();
+  t.ok(incoming.take(createChunk("abc", 0)));
+  t.notOk(incoming.take(createChunk("abc", 4)), "one is missing before it");
+  const last = createChunk("def", 3);
+  t.ok(incoming.take(last));
+  t.equal(Buffer.from(incoming.finish(last).state).toString(), "abcdef");
+  t.end();
+});
+
+// Guards against a state that is put together from two snapshots.
+test("a late chunk of another snapshot is refused", (t) => {
+  const incoming = new IncomingSnapshot();
+  t.ok(incoming.take(createChunk("abc", 0)));
+  t.notOk(incoming.take(createChunk("xyz", 3, { lastIndex: 4 })));
+  t.notOk(incoming.take(createChunk("xyz", 3, { term: 2 })));
+  t.notOk(incoming.take(createChunk("xyz", 3, { size: 7 })));
+  const last = createChunk("def", 3);
+  t.ok(incoming.take(last));
+  t.equal(Buffer.from(incoming.finish(last).state).toString(), "abcdef");
+  t.end();
+});
--- a/packages/consensus/src/group/send_snapshot.ts
+++ b/packages/consensus/src/group/send_snapshot.ts
@@ -12,8 +12,10 @@
 import { Err } from "ts-results";
 import type { StoredSnapshot } from "../storage/snapshot_store.ts";
 
-const PART_BYTES = 262_144;
-const PART_TIMEOUT_MILLISECONDS = 5_000;
+const CHUNK_BYTES = 262_144;
+const CHUNK_TIMEOUT_MILLISECONDS = 5_000;
+/** Chunks that are sent before the first of them is acknowledged. */
+const CHUNKS_IN_FLIGHT = 4;
 
 /** Where a snapshot goes, and from whom. */
 export interface SnapshotTarget {
@@ -25,31 +27,55 @@
   isWanted(): boolean;
 }
 
-/** Sends a snapshot part by part from its file; returns the answer to the last. */
+/**
+ * Sends a snapshot from its file, chunk by chunk in order; returns the answer
+ * to the last one, or the first that names a later term.
+ */
 export async function sendSnapshot(
   snapshot: StoredSnapshot,
   target: SnapshotTarget,
 ): Promise<Outcome<SnapshotReply>> {
+  const inFlight: Promise<Outcome<SnapshotReply>>[] = [];
   let offset = 0;
   while (target.isWanted()) {
-    const part = await snapshot.read(offset, PART_BYTES).catch(describeThrown);
-    if ("code" in part) return Err(part);
-    const last = offset + part.length >= snapshot.size;
-    const reply = await target.caller.call("consensus.snapshot", {
-      ...snapshot.point,
-      term: target.term,
-      from: target.from,
-      toIncarnation: target.toIncarnation,
-      size: snapshot.size,
-      offset,
-      part,
-      last,
-    }, { timeoutMilliseconds: PART_TIMEOUT_MILLISECONDS });
-    if (reply.err || last) return reply;
-    if (!reply.val.accepted) {
-      return fail(RESULT_CODES.NOT_LEADER, "The member refused the snapshot");
+    const chunk = await snapshot.read(offset, CHUNK_BYTES)
+      .catch(describeThrown);
+    if ("code" in chunk) return Err(chunk);
+    const last = offset + chunk.length >= snapshot.size;
+    inFlight.push(sendChunk(chunk, { snapshot, target, offset, last }));
+    offset += chunk.length;
+    const most = last ? 0 : CHUNKS_IN_FLIGHT - 1;
+    while (inFlight.length > most) {
+      const reply = await inFlight.shift() as Outcome<SnapshotReply>;
+      if (reply.err) return reply;
+      if (reply.val.term > target.term) return reply;
+      if (!reply.val.accepted) {
+        return fail(RESULT_CODES.NOT_LEADER, "The member refused the snapshot");
+      }
+      if (last && inFlight.length === 0) return reply;
     }
-    offset += part.length;
   }
   return fail(RESULT_CODES.NOT_LEADER, "The sender no longer leads");
 }
+
+function sendChunk(
+  part: Uint8Array,
+  details: {
+    readonly snapshot: StoredSnapshot;
+    readonly target: SnapshotTarget;
+    readonly offset: number;
+    readonly last: boolean;
+  },
+): Promise<Outcome<SnapshotReply>> {
+  const { snapshot, target, offset, last } = details;
+  return target.caller.call("consensus.snapshot", {
+    ...snapshot.point,
+    term: target.term,
+    from: target.from,
+    toIncarnation: target.toIncarnation,
+    size: snapshot.size,
+    offset,
+    part,
+    last,
+  }, { timeoutMilliseconds: CHUNK_TIMEOUT_MILLISECONDS });
+}
