The gateway's follower speaks of replies, timeouts and freshness

Names only: time since the leader's last reply in place of silence, poll interval in place of look. The log field `leader_silence_ms` is `since_leader_reply_ms` now; docs/OPERATIONS.md follows.

--- a/packages/gateway/src/gateway_role.ts
+++ b/packages/gateway/src/gateway_role.ts
@@ -30,9 +30,9 @@
 import { PromptMemory } from "./upstreams/prompt_memory.ts";
 import { UpstreamTable } from "./upstreams/upstream_table.ts";
 
-/** Time between two looks at resting connections, ms. */
+/** Poll interval for idle connections that have expired. */
 const SWEEP_MILLISECONDS = 250;
-/** Age up to which another gateway counts as one that shares the upstreams, ms. */
+/** Time since its last heartbeat up to which another gateway counts. */
 const GATEWAY_AGE_MILLISECONDS = 5_000;
 /** Time that is kept for the end of a stop before the process is killed, ms. */
 const KILL_MARGIN_MILLISECONDS = 1_200;
@@ -130,14 +130,16 @@
   isHealthy(): boolean {
     const now = performance.now();
     const { staleMilliseconds } = this.#options.settings.gateway;
-    const silence = this.#follower.findSilence(now);
+    const sinceReply = this.#follower.findTimeSinceReply(now);
     const isReady = this.#follower.routes !== undefined &&
-      silence < staleMilliseconds;
+      sinceReply < staleMilliseconds;
     if (isReady !== this.#wasReady) {
       this.#wasReady = isReady;
       this.#options.logger.info(isReady ? "Ready" : "Not ready", {
         version: this.#follower.routes?.document.version ?? -1,
-        leader_silence_ms: Number.isFinite(silence) ? Math.round(silence) : -1,
+        since_leader_reply_ms: Number.isFinite(sinceReply)
+          ? Math.round(sinceReply)
+          : -1,
       });
     }
     return isReady;
--- a/packages/gateway/src/site/site_follower.ts
+++ b/packages/gateway/src/site/site_follower.ts
@@ -14,12 +14,12 @@
 import type { InstanceListFollower } from "./instance_list_follower.ts";
 import type { SiteClient } from "./site_client.ts";
 
-/** Pause after a round in which no leader was found, ms: some round trips. */
+/** Pause after a round in which no leader was found. */
 const RETRY_MILLISECONDS = 30;
-/** How much longer than the held time an answer may take, ms. */
-const ANSWER_MILLISECONDS = 300;
-/** Longest wait for an answer while the leader is looked for, ms. */
-const SEARCH_MILLISECONDS = 300;
+/** How much longer than the held time a reply may take. */
+const REPLY_MARGIN_MILLISECONDS = 300;
+/** Timeout of a request while the leader is looked for. */
+const SEARCH_TIMEOUT_MILLISECONDS = 300;
 
 /** What the follower works with. */
 export interface SiteFollowerOptions {
@@ -36,8 +36,8 @@
   readonly #options: SiteFollowerOptions;
   readonly #stopped = new AbortController();
   readonly #documents: DocumentFollower;
-  readonly #heard = new WakeSignal();
-  #heardAt = -Infinity;
+  readonly #replied = new WakeSignal();
+  #repliedAt = -Infinity;
   #hasLost = false;
 
   constructor(options: SiteFollowerOptions) {
@@ -51,14 +51,14 @@
   }
 
   /**
-   * True if the routes in force are those of the newest document, by the word
-   * of a leader that is not old: without one, a route that is not found may be
-   * in a document that has not come here yet.
+   * True if the routes in force are those of the newest document, by a leader's
+   * reply within the freshness bound. Without one, a route that is not found may
+   * be in a document that has not arrived yet.
    */
   isNewest(now: number): boolean {
     const { holdMilliseconds } = this.#options;
-    const limit = 2 * (holdMilliseconds + ANSWER_MILLISECONDS);
-    return this.#documents.isNewest && this.findSilence(now) < limit;
+    const freshness = 2 * (holdMilliseconds + REPLY_MARGIN_MILLISECONDS);
+    return this.#documents.isNewest && this.findTimeSinceReply(now) < freshness;
   }
 
   /** Waits until the routes in force are the newest, or until the limit. */
@@ -70,14 +70,14 @@
       const { changed } = this.#documents;
       await Promise.race([
         changed.wait(until - now),
-        this.#heard.wait(until - now),
+        this.#replied.wait(until - now),
       ]);
     }
   }
 
-  /** Time since the leader was heard, ms. */
-  findSilence(now: number): number {
-    return now - this.#heardAt;
+  /** Time since the leader was sent the last request that it replied to, ms. */
+  findTimeSinceReply(now: number): number {
+    return now - this.#repliedAt;
   }
 
   /** Starts to follow. */
@@ -127,8 +127,8 @@
         holdMilliseconds: hold,
       },
       timeoutMilliseconds: hold === 0
-        ? SEARCH_MILLISECONDS
-        : hold + ANSWER_MILLISECONDS,
+        ? SEARCH_TIMEOUT_MILLISECONDS
+        : hold + REPLY_MARGIN_MILLISECONDS,
     });
     if (reply.err) {
       if (client.leader === store) {
@@ -137,11 +137,11 @@
       }
       return false;
     }
-    this.#take(store, reply.val, askedAt);
+    this.#applyReply(store, reply.val, askedAt);
     return true;
   }
 
-  #take(store: string, reply: FollowReply, askedAt: number): void {
+  #applyReply(store: string, reply: FollowReply, askedAt: number): void {
     const now = performance.now();
     const { client, logger, lists } = this.#options;
     if (client.leader !== store) {
@@ -149,10 +149,10 @@
       this.#hasLost = false;
     }
     client.noteLeader(store);
-    this.#heardAt = Math.max(this.#heardAt, askedAt);
+    this.#repliedAt = Math.max(this.#repliedAt, askedAt);
     if (reply.document !== undefined) this.#documents.take(reply.document);
     this.#documents.note(reply.documentVersion);
-    this.#heard.wake();
+    this.#replied.wake();
     lists.apply(reply, now);
   }
 
