--- a/packages/consensus/src/group/applier.ts
+++ b/packages/consensus/src/group/applier.ts
@@ -29,9 +29,9 @@
 const KEPT_SHARE = 0.5;
 
 /**
- * Entries of others that are applied in one go: a few ms of a whole core.
- * After a start all voters replay their logs at once, and must hear their
- * leader meanwhile.
+ * Entries of others that are applied before the event loop runs again. After a
+ * start all voters replay their logs at once, and must hear their leader
+ * meanwhile.
  */
 const STEP_ENTRIES = 128;
 
--- a/packages/store/src/instance_reader.ts
+++ b/packages/store/src/instance_reader.ts
@@ -78,10 +78,10 @@
   }
 
   /**
-   * Tells the list, and reads it first if it is older than the request allows.
-   * Needs no leader: the list is not part of the replicated state.
+   * Answers a gateway, and reads the list first if it is older than the request
+   * allows. Needs no leader: the list is not part of the replicated state.
    */
-  async tell(request: ReadInstanceList): Promise<InstanceListReply> {
+  async answer(request: ReadInstanceList): Promise<InstanceListReply> {
     const age = this.findAge(performance.now());
     if (age < 0 || age > request.maxAgeMilliseconds) await this.#readOnce();
     const list = this.#list;
--- a/packages/store/src/instance_reader_test.ts
+++ b/packages/store/src/instance_reader_test.ts
@@ -42,14 +42,17 @@
 
 test("a store that does not lead reads the list when it is asked for it", async (t) => {
   const { reader, source } = createReader();
-  const first = await reader.tell({ revision: "", maxAgeMilliseconds: 60_000 });
+  const first = await reader.answer({
+    revision: "",
+    maxAgeMilliseconds: 60_000,
+  });
   t.same(first.list?.instances, [INSTANCE]);
   t.ok(first.listAgeMilliseconds >= 0);
   const revision = first.list?.revision ?? "";
-  const second = await reader.tell({ revision, maxAgeMilliseconds: 60_000 });
+  const second = await reader.answer({ revision, maxAgeMilliseconds: 60_000 });
   t.equal(second.list, undefined, "the asker has this revision");
   t.equal(source.reads, 1, "a fresh list is not read again");
-  await reader.tell({ revision, maxAgeMilliseconds: -1 });
+  await reader.answer({ revision, maxAgeMilliseconds: -1 });
   t.equal(source.reads, 2, "an old one is");
 });
 
@@ -57,9 +60,9 @@
   const { reader, source } = createReader();
   const request = { revision: "", maxAgeMilliseconds: 1_000 };
   const replies = await Promise.all([
-    reader.tell(request),
-    reader.tell(request),
-    reader.tell(request),
+    reader.answer(request),
+    reader.answer(request),
+    reader.answer(request),
   ]);
   t.equal(source.reads, 1);
   t.ok(replies.every(({ list }) => list !== undefined));
@@ -69,18 +72,18 @@
   const { reader, source } = createReader();
   source.fails = true;
   const request = { revision: "", maxAgeMilliseconds: -1 };
-  t.equal((await reader.tell(request)).listAgeMilliseconds, -1);
+  t.equal((await reader.answer(request)).listAgeMilliseconds, -1);
   source.fails = false;
-  await reader.tell(request);
+  await reader.answer(request);
   const { readAt } = reader;
   source.fails = true;
-  t.same((await reader.tell(request)).list?.instances, [INSTANCE]);
+  t.same((await reader.answer(request)).list?.instances, [INSTANCE]);
   t.equal(reader.readAt, readAt);
 });
 
 test("a list from before a leadership is not used in it", async (t) => {
   const { reader, source } = createReader();
-  await reader.tell({ revision: "", maxAgeMilliseconds: 0 });
+  await reader.answer({ revision: "", maxAgeMilliseconds: 0 });
   source.fails = true;
   reader.start();
   t.equal(reader.list, undefined);
--- a/packages/store/src/store_app.ts
+++ b/packages/store/src/store_app.ts
@@ -12,7 +12,7 @@
 ): HandlerTable {
   return {
     "site.follow": (request, { signal }) => owner.follow(request, signal),
-    "instances.read": async (request) => Ok(await reader.tell(request)),
+    "instances.read": async (request) => Ok(await reader.answer(request)),
     "document.put": (request, { signal }) =>
       owner.documents.putPart(request, signal),
     "document.read": (request) => owner.readDocumentPart(request),
