--- a/packages/store/src/follow_test.ts
+++ b/packages/store/src/follow_test.ts
@@ -1,45 +1,20 @@
-import {
-  createMetrics,
-  SILENT_LOGGER,
-  sleep,
-  type UpstreamInstance,
-  WakeSignal,
-} from "@mallowlift/core";
+import { createMetrics, SILENT_LOGGER, sleep } from "@mallowlift/core";
 import { SiteState } from "@mallowlift/sessions";
 import { test } from "tap";
-import { Ok } from "ts-results";
-import { InstanceReader } from "./instance_reader.ts";
+import { createTestReader } from "./mocks/create_test_reader.ts";
 import { SiteOwner } from "./site_owner.ts";
 
-const INSTANCE: UpstreamInstance = {
-  id: "u-1",
-  service: "s",
-  address: "127.0.0.1:1",
-  failureDomain: "d",
-  slots: 1,
-  leaving: false,
-};
-
 /** A leader that has read a list. */
 async function lead() {
-  const changed = new WakeSignal();
-  const logger = SILENT_LOGGER;
-  const metrics = createMetrics();
-  const reader = new InstanceReader({
-    source: { read: () => Promise.resolve(Ok([INSTANCE])) },
-    intervalMilliseconds: 60_000,
-    logger,
-    metrics,
-    onChange: () => changed.wake(),
-  });
+  const { reader, changed } = createTestReader();
   const owner = new SiteOwner({
     state: new SiteState(),
     reader,
     changed,
     leastStores: 1,
     getGroup: () => undefined,
-    logger,
-    metrics,
+    logger: SILENT_LOGGER,
+    metrics: createMetrics(),
   });
   owner.onLeading();
   while (reader.list === undefined) await sleep(1);
--- a/packages/store/src/instance_reader_test.ts
+++ b/packages/store/src/instance_reader_test.ts
@@ -1,52 +1,13 @@
-import {
-  createMetrics,
-  fail,
-  type Outcome,
-  RESULT_CODES,
-  SILENT_LOGGER,
-  type UpstreamInstance,
-} from "@mallowlift/core";
 import { test } from "tap";
-import { Ok } from "ts-results";
-import { InstanceReader } from "./instance_reader.ts";
-
-const INSTANCE: UpstreamInstance = {
-  id: "u-1",
-  service: "s",
-  address: "127.0.0.1:1",
-  failureDomain: "d",
-  slots: 1,
-  leaving: false,
-};
-
-/** A reader of a source that can fail, and how often the source was read. */
-function createReader() {
-  const source = { reads: 0, fails: false, instances: [INSTANCE] };
-  const read = (): Promise<Outcome<readonly UpstreamInstance[]>> => {
-    source.reads++;
-    return Promise.resolve(
-      source.fails
-        ? fail(RESULT_CODES.UPSTREAM_ERROR, "No list")
-        : Ok(source.instances),
-    );
-  };
-  const reader = new InstanceReader({
-    source: { read },
-    intervalMilliseconds: 60_000,
-    logger: SILENT_LOGGER,
-    metrics: createMetrics(),
-    onChange: () => undefined,
-  });
-  return { reader, source };
-}
+import { createTestReader, TEST_INSTANCE } from "./mocks/create_test_reader.ts";
 
 test("a store that does not lead reads the list when it is asked for it", async (t) => {
-  const { reader, source } = createReader();
+  const { reader, source } = createTestReader();
   const first = await reader.answer({
     revision: "",
     maxAgeMilliseconds: 60_000,
   });
-  t.same(first.list?.instances, [INSTANCE]);
+  t.same(first.list?.instances, [TEST_INSTANCE]);
   t.ok(first.listAgeMilliseconds >= 0);
   const revision = first.list?.revision ?? "";
   const second = await reader.answer({ revision, maxAgeMilliseconds: 60_000 });
@@ -57,7 +18,7 @@
 });
 
 test("all who ask at once share one read", async (t) => {
-  const { reader, source } = createReader();
+  const { reader, source } = createTestReader();
   const request = { revision: "", maxAgeMilliseconds: 1_000 };
   const replies = await Promise.all([
     reader.answer(request),
@@ -69,7 +30,7 @@
 });
 
 test("a source that fails leaves the list with its age", async (t) => {
-  const { reader, source } = createReader();
+  const { reader, source } = createTestReader();
   source.fails = true;
   const request = { revision: "", maxAgeMilliseconds: -1 };
   t.equal((await reader.answer(request)).listAgeMilliseconds, -1);
@@ -77,12 +38,12 @@
   await reader.answer(request);
   const { readAt } = reader;
   source.fails = true;
-  t.same((await reader.answer(request)).list?.instances, [INSTANCE]);
+  t.same((await reader.answer(request)).list?.instances, [TEST_INSTANCE]);
   t.equal(reader.readAt, readAt);
 });
 
 test("a list from before a leadership is not used in it", async (t) => {
-  const { reader, source } = createReader();
+  const { reader, source } = createTestReader();
   await reader.answer({ revision: "", maxAgeMilliseconds: 0 });
   source.fails = true;
   reader.start();
