Stores report how old requests are when they are read

Calls now carry when they were sent; the receiver takes the smallest clock difference of the connection as that of a request that waited nowhere. The line on repeated commands adds the oldest request, refusals, abandoned ends, processor time and the load of the event loop; a histogram counts the ages by kind. Releases without the field are read as age 0.

--- a/packages/consensus/src/mocks/test_cluster.ts
+++ b/packages/consensus/src/mocks/test_cluster.ts
@@ -272,6 +272,7 @@
     const context = {
       peer: id,
       signal: new AbortController().signal,
+      ageMilliseconds: 0,
       sendChunk: () => undefined,
     };
     return await join({ group: GROUP, member, knowsItself }, context);
--- a/packages/core/src/metrics/metrics.ts
+++ b/packages/core/src/metrics/metrics.ts
@@ -51,6 +51,7 @@
   readonly proposals: Counter<"kind">;
   readonly repeatedCommands: Counter<"kind">;
   readonly abandonedCommands: Counter<"kind">;
+  readonly requestAgeSeconds: Histogram<"kind">;
   readonly revision: Gauge;
   readonly running: Gauge;
   readonly queued: Gauge;
@@ -161,6 +162,13 @@
       labelNames: ["kind"],
       registers,
     }),
+    requestAgeSeconds: new Histogram({
+      name: "mallowlift_request_age_seconds",
+      help: "Age of the requests for a command when the store reads them",
+      labelNames: ["kind"],
+      buckets: LATENCY_BUCKETS,
+      registers,
+    }),
     revision: new Gauge({
       name: "mallowlift_configuration_revision",
       help: "Revision of the configuration in force",
--- a/packages/store/src/proposal_report.ts
+++ b/packages/store/src/proposal_report.ts
@@ -1,9 +1,16 @@
-/** Reports how many commands a leader decides, and how many were repeated or abandoned. */
+/**
+ * Reports how many commands a leader decides, how many were repeated or abandoned,
+ * and whether requests wait for the processor or for a quorum.
+ */
 
+import { performance } from "node:perf_hooks";
+import process from "node:process";
 import type { Logger, Metrics } from "@mallowlift/core";
 
 /** Minimum time between two log lines, ms. */
 const LOG_INTERVAL_MILLISECONDS = 1_000;
+/** Age of a request when it is read from which a line is logged, ms. */
+const OLD_REQUEST_MILLISECONDS = 100;
 
 /** A command that was committed or has failed. */
 export interface FinishedCommand {
@@ -26,6 +33,11 @@
   #repeated = 0;
   #abandoned = 0;
   #slowestMilliseconds = 0;
+  #abandonedEnds = 0;
+  #refused = 0;
+  #oldestMilliseconds = 0;
+  #processor = process.cpuUsage();
+  #eventLoop = performance.eventLoopUtilization();
 
   constructor(parts: { readonly logger: Logger; readonly metrics: Metrics }) {
     this.#logger = parts.logger;
@@ -41,6 +53,7 @@
     this.#decided++;
     this.#repeated += requestCount - 1;
     if (isAbandoned) this.#abandoned++;
+    if (isAbandoned && kind === "end") this.#abandonedEnds++;
     this.#slowestMilliseconds = Math.max(
       this.#slowestMilliseconds,
       command.milliseconds,
@@ -48,13 +61,36 @@
     if (now - this.#startedAt >= LOG_INTERVAL_MILLISECONDS) this.#write(now);
   }
 
+  /** Records how old a request was when it was read, ms. */
+  recordAge(kind: string, milliseconds: number): void {
+    this.#metrics.requestAgeSeconds.observe({ kind }, milliseconds / 1_000);
+    this.#oldestMilliseconds = Math.max(this.#oldestMilliseconds, milliseconds);
+  }
+
+  /** Counts a request that was refused because the leader is overloaded. */
+  recordRefusal(): void {
+    this.#refused++;
+  }
+
   #write(now: number): void {
-    const isNotable = this.#repeated > 0 || this.#abandoned > 0;
+    const eventLoop = performance.eventLoopUtilization();
+    const isNotable = this.#repeated > 0 || this.#abandoned > 0 ||
+      this.#refused > 0 || this.#oldestMilliseconds >= OLD_REQUEST_MILLISECONDS;
     if (isNotable) {
+      const { user, system } = process.cpuUsage(this.#processor);
+      const { utilization } = performance.eventLoopUtilization(
+        eventLoop,
+        this.#eventLoop,
+      );
       this.#logger.info("Commands repeated or abandoned", {
         decided: this.#decided,
         repeated: this.#repeated,
         unheard: this.#abandoned,
+        unheard_ends: this.#abandonedEnds,
+        refused: this.#refused,
+        oldest_request_ms: Math.round(this.#oldestMilliseconds),
+        processor_ms: Math.round((user + system) / 1_000),
+        event_loop_busy: Number(utilization.toFixed(2)),
         slowest_ms: Math.round(this.#slowestMilliseconds),
         span_ms: Math.round(now - this.#startedAt),
       });
@@ -64,5 +100,10 @@
     this.#repeated = 0;
     this.#abandoned = 0;
     this.#slowestMilliseconds = 0;
+    this.#abandonedEnds = 0;
+    this.#refused = 0;
+    this.#oldestMilliseconds = 0;
+    this.#processor = process.cpuUsage();
+    this.#eventLoop = eventLoop;
   }
 }
--- a/packages/store/src/site_owner.ts
+++ b/packages/store/src/site_owner.ts
@@ -41,6 +41,7 @@
 import { LatestUpstreams } from "./latest_upstreams.ts";
 import { ProposalReport } from "./proposal_report.ts";
 import type { ProposeCommand } from "./propose_command.ts";
+import type { RequestContext } from "./request_context.ts";
 import { RetirementOwner } from "./retirement_owner.ts";
 import { SharedCommands } from "./shared_commands.ts";
 
@@ -125,14 +126,14 @@
   /** Begins a turn. */
   async begin(
     request: BeginTurn,
-    signal: AbortSignal,
+    caller: RequestContext,
   ): Promise<Outcome<BeginTurnReply>> {
     // The turns that the gateway already has only affect the reply, so they are
     // not replicated.
     const { missingFrom, knownTurns, ...reserve } = request;
     const at = this.#getSiteTime();
     const command = { kind: "begin", at, ...reserve } as const;
-    const result = await this.#propose(command, signal);
+    const result = await this.#proposeFor(caller, command);
     if (result.err) {
       this.#logRefusedTurn(request, result.val.code);
       return result;
@@ -150,12 +151,12 @@
   /** Ends a turn. */
   async end(
     request: EndTurn,
-    signal: AbortSignal,
+    caller: RequestContext,
   ): Promise<Outcome<EndTurnReply>> {
     this.#latestUpstreams.record(request.programId, request.upstream);
     const at = this.#getSiteTime();
     const command = { kind: "end", at, ...request } as const;
-    const result = await this.#propose(command, signal);
+    const result = await this.#proposeFor(caller, command);
     if (result.err) return result;
     const permits = result.val.grants?.[0]?.granted;
     return Ok(permits === undefined ? {} : { permits });
@@ -164,11 +165,11 @@
   /** Grants permits for requests that begin no turn. */
   async takePermits(
     request: TakePermits,
-    signal: AbortSignal,
+    caller: RequestContext,
   ): Promise<Outcome<TakePermitsReply>> {
     const at = this.#getSiteTime();
     const command = { kind: "charge", at, ...request } as const;
-    const result = await this.#propose(command, signal);
+    const result = await this.#proposeFor(caller, command);
     return result.err ? result : Ok({ grants: result.val.grants ?? [] });
   }
 
@@ -204,6 +205,14 @@
     });
   }
 
+  #proposeFor(
+    caller: RequestContext,
+    command: SiteCommand,
+  ): Promise<Outcome<SiteResult>> {
+    this.#report.recordAge(command.kind, caller.ageMilliseconds);
+    return this.#propose(command, caller.signal);
+  }
+
   async #propose(
     command: SiteCommand,
     signal: AbortSignal,
@@ -265,6 +274,7 @@
   }
 
   #countRefusedForLoad(): void {
+    this.#report.recordRefusal();
     countRefusal(this.#options.metrics, "owner", RESULT_CODES.LEADER_BUSY);
   }
 
--- a/packages/store/src/store_app.ts
+++ b/packages/store/src/store_app.ts
@@ -26,8 +26,8 @@
       owner.retirements.retire(request, signal),
     "site.retirement": (request, { signal }) =>
       owner.retirements.getState(request, signal),
-    "turns.begin": (request, { signal }) => owner.begin(request, signal),
-    "turns.end": (request, { signal }) => owner.end(request, signal),
-    "quota.take": (request, { signal }) => owner.takePermits(request, signal),
+    "turns.begin": (request, context) => owner.begin(request, context),
+    "turns.end": (request, context) => owner.end(request, context),
+    "quota.take": (request, context) => owner.takePermits(request, context),
   };
 }
--- a/packages/transport/src/connection.ts
+++ b/packages/transport/src/connection.ts
@@ -35,6 +35,7 @@
   HandlerTable,
   PeerClient,
 } from "./handlers.ts";
+import { RequestAgeEstimator } from "./request_age.ts";
 
 /** Time between two pings on connections that wait for data, ms. */
 const PING_INTERVAL_MILLISECONDS = 1_000;
@@ -99,6 +100,7 @@
   readonly #pending = new Map<number, PendingCall>();
   /** Abort controllers of the running handlers, by call id. */
   readonly #running = new Map<number, AbortController>();
+  readonly #ages = new RequestAgeEstimator();
   #nextId = 1;
   #open = true;
   #corked = false;
@@ -145,8 +147,15 @@
       done,
       onChunk: options.onChunk as PendingCall["onChunk"],
     });
-    this.#send({ type: "call", id, name, body: request });
-    this.#expectData(performance.now());
+    const now = performance.now();
+    this.#send({
+      type: "call",
+      id,
+      name,
+      sentAt: Math.round(now),
+      body: request,
+    });
+    this.#expectData(now);
     const abandon = (outcome: Outcome<never>) => {
       if (!this.#pending.delete(id)) return;
       this.#send({ type: "cancel", id });
@@ -280,6 +289,10 @@
     this.#send({ type: "error", id: frame.id, body: encodeError(outcome.val) });
   }
 
+  #findAge({ sentAt }: Frame, readAt: number): number {
+    return sentAt === undefined ? 0 : this.#ages.estimate({ sentAt, readAt });
+  }
+
   async #runHandler(
     frame: Frame,
     signal: AbortSignal,
@@ -298,6 +311,7 @@
     const context: CallContext<unknown> = {
       peer: this.peer,
       signal,
+      ageMilliseconds: this.#findAge(frame, performance.now()),
       sendChunk: (body) => {
         if (signal.aborted) return;
         this.#send({ type: "chunk", id: frame.id, body });
--- a/packages/transport/src/frame.ts
+++ b/packages/transport/src/frame.ts
@@ -17,6 +17,11 @@
   readonly id: number;
   /** Name of the called method; only in a call. */
   readonly name?: string;
+  /**
+   * When the call was sent, by the sender's monotonic clock, ms; only in a call,
+   * missing in earlier releases.
+   */
+  readonly sentAt?: number;
   readonly body?: unknown;
 }
 
@@ -115,14 +120,15 @@
   // leader (7.4 of 62 ms per second).
   return fail(
     RESULT_CODES.FRAME_MALFORMED,
-    "Frame has a missing or invalid type, id or name",
+    "Frame has a missing or invalid type, id, name or time",
   );
 }
 
 function isFrame(value: unknown): value is Frame {
   if (typeof value !== "object" || value === null) return false;
-  const { type, id, name } = value as Partial<Frame>;
+  const { type, id, name, sentAt } = value as Partial<Frame>;
   if (typeof type !== "string" || !FRAME_TYPES.includes(type)) return false;
   if (!Number.isSafeInteger(id)) return false;
+  if (sentAt !== undefined && !Number.isFinite(sentAt)) return false;
   return type !== "call" || typeof name === "string";
 }
--- a/packages/transport/src/handlers.ts
+++ b/packages/transport/src/handlers.ts
@@ -8,6 +8,11 @@
   readonly peer: string;
   /** Aborts when the caller cancels the call or its connection closes. */
   readonly signal: AbortSignal;
+  /**
+   * How long the request waited between its sender and this handler, ms, see
+   * {@linkcode RequestAgeEstimator}; 0 if the sender does not tell when it sent it.
+   */
+  readonly ageMilliseconds: number;
   /** Sends one chunk of a streamed reply. */
   sendChunk(chunk: Chunk): void;
 }
--- a/packages/transport/src/mod.ts
+++ b/packages/transport/src/mod.ts
@@ -8,3 +8,4 @@
 export * from "./peer_link.ts";
 export * from "./peer_links.ts";
 export * from "./peer_server.ts";
+export * from "./request_age.ts";
