--- a/packages/bench/src/gateways/burst_recovery_test.ts
+++ b/packages/bench/src/gateways/burst_recovery_test.ts
@@ -12,7 +12,7 @@
 import { type Test, test } from "tap";
 import { callGateway, type CallResult } from "./gateway_caller.ts";
 import { startTestSite, type TestSite } from "./start_test_site.ts";
-import { findLeader, readMetrics } from "./store_metrics.ts";
+import { findLeader, sumStoreCounter } from "./store_metrics.ts";
 import { TEST_DOCUMENT } from "./test_document.ts";
 
 /**
@@ -45,15 +45,6 @@
 /** Number of attempts to read the document, one of which must succeed. */
 const DOCUMENT_READ_ATTEMPTS = 5;
 
-/** Returns the sum of a counter over its labels and all stores. */
-async function sumCounter({ site }: TestSite, name: string): Promise<number> {
-  const texts = await Promise.all(site.stores.map(readMetrics));
-  const lines = texts.join("\n").split("\n");
-  const values = lines.filter((line) => line.startsWith(`${name}{`))
-    .map((line) => Number(line.split(" ").at(-1)));
-  return values.reduce((sum, value) => sum + value, 0);
-}
-
 async function limitFollowerBandwidth(running: TestSite): Promise<void> {
   const leader = await findLeader(running);
   for (const { name } of running.site.stores) {
@@ -186,8 +177,11 @@
     servedLater: countServed(servedLater),
     lost,
   });
-  const proposals = await sumCounter(running, "mallowlift_proposals_total");
-  const unawaited = await sumCounter(
+  const proposals = await sumStoreCounter(
+    running,
+    "mallowlift_proposals_total",
+  );
+  const unawaited = await sumStoreCounter(
     running,
     "mallowlift_unheard_answers_total",
   );
--- a/packages/bench/src/gateways/gateway_site.ts
+++ b/packages/bench/src/gateways/gateway_site.ts
@@ -48,6 +48,8 @@
   readonly directoryMilliseconds?: number;
   /** Largest internal frame, bytes; by default that of the settings schema. */
   readonly maxFrameBytes?: number;
+  /** Path of a module that stores load before their own code. */
+  readonly preloadedByStores?: string;
   /** Additional keys of the gateways' settings. */
   readonly gatewaySettings?: Readonly<Record<string, string | number>>;
 }
@@ -190,7 +192,10 @@
       const isGateway = number < gateways;
       const name = isGateway ? `gateway-${number}` : `store-${number}`;
       const ports = await findFreePorts(4);
-      const daemon = createDaemon(folder, name, ports);
+      const daemon = createDaemon(folder, name, {
+        ports,
+        preload: isGateway ? undefined : this.#plan.preloadedByStores,
+      });
       (isGateway ? this.gateways : this.stores).push(daemon);
       this.#ports.set(name, ports);
       await this.#addProxy(name, ports[0] ?? 0);
@@ -262,9 +267,12 @@
 function createDaemon(
   folder: string,
   name: string,
-  ports: readonly number[],
+  details: {
+    readonly ports: readonly number[];
+    readonly preload: string | undefined;
+  },
 ): SiteDaemon {
-  const [, health, callers, operators] = ports;
+  const [, health, callers, operators] = details.ports;
   return {
     name,
     dataFolder: join(folder, `${name}-data`),
@@ -276,6 +284,7 @@
       script: require.resolve("@mallowlift/daemon/bin/mallowlift.js"),
       scriptArguments: ["--settings", join(folder, `${name}.ini`)],
       logPath: join(folder, `${name}.log`),
+      ...(details.preload === undefined ? {} : { preload: details.preload }),
     }),
   };
 }
--- a/packages/bench/src/gateways/start_test_site.ts
+++ b/packages/bench/src/gateways/start_test_site.ts
@@ -20,6 +20,8 @@
   readonly proxied?: boolean;
   /** Largest internal frame, bytes; by default that of the settings schema. */
   readonly maxFrameBytes?: number;
+  /** Path of a module that stores load before their own code. */
+  readonly preloadedByStores?: string;
   /** Additional keys of the gateways' settings. */
   readonly gatewaySettings?: Readonly<Record<string, string | number>>;
   /** Initial routing document; {@linkcode TEST_DOCUMENT} by default. */
@@ -51,6 +53,7 @@
 ): Promise<TestSite> {
   const { gateways = 1, stores = 3, waitMilliseconds, proxied } = plan;
   const { maxFrameBytes, gatewaySettings, document = TEST_DOCUMENT } = plan;
+  const { preloadedByStores } = plan;
   const upstreams = Array.from(
     { length: plan.upstreams ?? 1 },
     (_, index) => new OpaqueUpstream(`u-${index + 1}`),
@@ -74,6 +77,7 @@
       proxied,
       maxFrameBytes,
       gatewaySettings,
+      preloadedByStores,
     },
     document,
   );
--- a/packages/bench/src/gateways/store_metrics.ts
+++ b/packages/bench/src/gateways/store_metrics.ts
@@ -9,6 +9,18 @@
   return await (await fetch(url)).text();
 }
 
+/** Returns the sum of a counter over its labels and all stores. */
+export async function sumStoreCounter(
+  { site }: TestSite,
+  name: string,
+): Promise<number> {
+  const texts = await Promise.all(site.stores.map(readMetrics));
+  const lines = texts.join("\n").split("\n");
+  const values = lines.filter((line) => line.startsWith(`${name}{`))
+    .map((line) => Number(line.split(" ").at(-1)));
+  return values.reduce((sum, value) => sum + value, 0);
+}
+
 /** Returns the name of the leader of group 0; throws if no store leads it. */
 export async function findLeader({ site }: TestSite): Promise<string> {
   for (const store of site.stores) {
--- a/packages/bench/src/site/managed_process.ts
+++ b/packages/bench/src/site/managed_process.ts
@@ -11,6 +11,8 @@
   readonly script: string;
   readonly scriptArguments: readonly string[];
   readonly logPath: string;
+  /** Module that is loaded before the script. */
+  readonly preload?: string;
 }
 
 const RUNNING = new Set<ChildProcess>();
@@ -54,7 +56,11 @@
   /** Starts the process. */
   start(): void {
     const log = openSync(this.plan.logPath, "a");
-    const nodeArguments = listProfileArguments();
+    const { preload } = this.plan;
+    const nodeArguments = [
+      ...listProfileArguments(),
+      ...(preload === undefined ? [] : ["--require", preload]),
+    ];
     const child = spawn(process.execPath, [
       ...nodeArguments,
       this.plan.script,
