A stopping gateway closes no connection whose request it has just read

Cause: after its last look for open requests a gateway waited up to 50 ms, and then closed all connections, also one on which a request had arrived meanwhile. Now it closes them right after two looks in a row that found none, without a wait between. Evidence: eight gateways stop at once and each gets one request, 8 ms apart; before, one that ran had no answer, now all have.

--- a/packages/bench/src/gateways/gateway_stop_test.ts
+++ b/packages/bench/src/gateways/gateway_stop_test.ts
@@ -1,9 +1,22 @@
+import { once } from "node:events";
+import { connect, type Socket } from "node:net";
 import { sleep } from "@mallowlift/core";
 import { test } from "tap";
 import { callGateway } from "./gateway_caller.ts";
 import { startTestSite } from "./start_test_site.ts";
 import { callTurn, countRuns } from "./turn_caller.ts";
 
+/** Resolves with all that a connection received when it closes. */
+async function readUntilClose(connection: Socket): Promise<string> {
+  let text = "";
+  connection.on("data", (bytes) => text += String(bytes));
+  connection.on("error", () => undefined);
+  if (!connection.closed) {
+    await once(connection, "close").catch(() => undefined);
+  }
+  return text;
+}
+
 test("a stopping gateway finishes its streams", async (t) => {
   const running = await startTestSite(t, { upstreams: 2 });
   const { site, upstreams } = running;
@@ -55,6 +68,40 @@
   await stopped;
 });
 
+// Guards against a request that a stopping gateway reads between its last look for
+// open requests and the close of all connections: it ran and got no answer.
+test("a request that crosses the close of a stopping gateway is answered if it runs", async (t) => {
+  const running = await startTestSite(t, { upstreams: 2, gateways: 8 });
+  for (const upstream of running.upstreams) {
+    upstream.faults.silentMilliseconds = 300;
+  }
+  const { gateways } = running.site;
+  const connections = gateways.map(({ callersUrl }) =>
+    connect(Number(new URL(callersUrl).port), "127.0.0.1")
+  );
+  await Promise.all(connections.map((each) => once(each, "connect")));
+  const stopped = gateways.map((gateway) => gateway.process.stop());
+  // Gateways accept requests for 300 ms and close all connections soon after; each
+  // gets a single request, a little later than the one before.
+  await sleep(300);
+  const answers: Promise<string>[] = [];
+  for (const [number, connection] of connections.entries()) {
+    answers.push(readUntilClose(connection));
+    connection.write(
+      `POST /read/x HTTP/1.1\r\nhost: a.example\r\n` +
+        `x-call-id: crossing-${number}\r\ncontent-length: 0\r\n\r\n`,
+    );
+    await sleep(8);
+  }
+  const texts = await Promise.all(answers);
+  t.same(await Promise.all(stopped), gateways.map(() => 0));
+  const lost = texts.filter((text, number) =>
+    countRuns(running, `crossing-${number}`) > 0 &&
+    !text.startsWith("HTTP/1.1 200")
+  );
+  t.same(lost, []);
+});
+
 test("the upstream connection closes when the caller disconnects", async (t) => {
   const running = await startTestSite(t, { upstreams: 2 });
   const { upstreams } = running;
--- a/packages/gateway/src/http/caller_server.ts
+++ b/packages/gateway/src/http/caller_server.ts
@@ -16,7 +16,6 @@
 import {
   type CodedError,
   countRefusal,
-  createDeferred,
   fail,
   type Logger,
   type Metrics,
@@ -53,6 +52,11 @@
 };
 /** Poll interval for open requests during a stop, ms. */
 const STOP_POLL_MILLISECONDS = 25;
+/**
+ * Successive polls without an open request after which the remaining connections are
+ * closed: a request may still be on its way on one of them.
+ */
+const STOP_QUIET_POLLS = 2;
 
 /** Options of {@linkcode CallerServer}. */
 export interface CallerServerOptions {
@@ -127,14 +131,19 @@
     while (findElapsed() < drainMilliseconds) {
       await sleep(STOP_POLL_MILLISECONDS);
     }
-    const closed = createDeferred<void>();
-    this.#server.close(() => closed.resolve(undefined));
-    while (this.#openRequests > 0 && findElapsed() < maxMilliseconds) {
+    let isClosed = false;
+    this.#server.close(() => isClosed = true);
+    let quietPolls = 0;
+    while (
+      !isClosed && quietPolls < STOP_QUIET_POLLS &&
+      findElapsed() < maxMilliseconds
+    ) {
       this.#server.closeIdleConnections();
       await sleep(STOP_POLL_MILLISECONDS);
+      quietPolls = this.#openRequests > 0 ? 0 : quietPolls + 1;
     }
-    this.#server.closeIdleConnections();
-    await Promise.race([closed.promise, sleep(STOP_POLL_MILLISECONDS * 2)]);
+    // Nothing is awaited since the last check, so no open request is aborted here
+    // before the maximum time.
     this.#server.closeAllConnections();
   }
 
