Gateways wait for a leader that answers other calls instead of asking again

A gateway gave up a call to the leader after 400 ms and sent it again, content and all, up to five times.

Now a request stays with a leader as long as that answers any call, and is sent again only after `store_call_milliseconds` of silence or to another leader; a follower's poll that times out meanwhile does not end the leader either.

--- a/packages/core/src/settings/schema.ts
+++ b/packages/core/src/settings/schema.ts
@@ -308,7 +308,7 @@
       { fallback: 2_500, min: 0, max: 60_000 },
     ),
     storeCallMilliseconds: numberField(
-      "Timeout of one call to a store, after which it is retried.",
+      "Time without an answer to any call after which a call to a store is retried.",
       { fallback: 400, min: 10, max: 60_000 },
     ),
     followMilliseconds: numberField(
--- a/packages/gateway/src/site/site_client.ts
+++ b/packages/gateway/src/site/site_client.ts
@@ -62,8 +62,8 @@
   /** Signal that is raised when a leader is found. */
   readonly #found = new WakeSignal();
   #leader: string | undefined;
-  /** Time when the leader last answered any call. */
-  #repliedAt = -Infinity;
+  /** Time when each store last answered any call. */
+  readonly #repliedAt = new Map<string, number>();
 
   constructor(options: SiteClientOptions) {
     this.#options = options;
@@ -82,6 +82,11 @@
     if (name !== undefined) this.#found.wake();
   }
 
+  /** True if a store has answered any call since a time of the local clock, ms. */
+  hasAnsweredSince(store: string, since: number): boolean {
+    return (this.#repliedAt.get(store) ?? -Infinity) > since;
+  }
+
   /** Returns the names of all known stores. */
   listStores(): readonly string[] {
     return this.#options.directory.findByRole(ROLES.STORE).map((store) =>
@@ -96,6 +101,8 @@
     options: {
       readonly request: InternalHandlers[N]["request"];
       readonly timeoutMilliseconds: number;
+      /** Cancels the call when it aborts. */
+      readonly signal?: AbortSignal;
     },
   ): Promise<Outcome<InternalHandlers[N]["reply"]>> {
     const record = this.#options.directory.find(store);
@@ -112,9 +119,10 @@
       : links.get(record.address);
     const outcome = await link.call(name, options.request, {
       timeoutMilliseconds: options.timeoutMilliseconds,
+      ...(options.signal === undefined ? {} : { signal: options.signal }),
     });
     const hasReply = outcome.ok || !UNANSWERED_CODES.has(outcome.val.code.name);
-    if (hasReply && store === this.#leader) this.#repliedAt = performance.now();
+    if (hasReply) this.#repliedAt.set(store, performance.now());
     return outcome;
   }
 
@@ -135,7 +143,9 @@
 
   /**
    * Calls the leader and retries, with a new leader if one is found, until the
-   * time runs out. Only for idempotent requests.
+   * time runs out. A leader that answers other calls is waited for: a request that
+   * is sent again would only add to the load that makes it slow. Only for
+   * idempotent requests.
    */
   async call<N extends HandlerName>(
     name: N,
@@ -152,10 +162,10 @@
       const remaining = deadline - performance.now();
       const leader = this.#leader;
       if (leader !== undefined && remaining > 0) {
-        const sentAt = performance.now();
-        outcome = await this.callStore(leader, name, {
+        outcome = await this.#callUntilSilent(leader, name, {
           request,
-          timeoutMilliseconds: Math.min(remaining, attemptMilliseconds),
+          timeoutMilliseconds: remaining,
+          silenceMilliseconds: attemptMilliseconds,
         });
         if (outcome.ok) return outcome;
         const { code, message, retryAfterMilliseconds } = outcome.val;
@@ -166,12 +176,10 @@
         }
         if (!RETRYABLE_CODES.has(code.name)) return outcome;
         isUncertain ||= UNCERTAIN_CODES.has(code.name);
-        // A leader that has answered another call in the meantime is slow, not
-        // lost; a search for a leader would only increase its load. A call with
-        // large content may time out because of its size. The follower detects
-        // a lost leader independently.
+        // A call with large content may time out because of its size. The follower
+        // detects a lost leader independently.
         const isSlow = code === RESULT_CODES.TIMEOUT &&
-          (this.#repliedAt > sentAt || contentBytes >= LARGE_BYTES);
+          contentBytes >= LARGE_BYTES;
         if (this.#leader === leader && !isSlow) this.#leader = undefined;
       }
       const waitRemaining = deadline - performance.now();
@@ -179,6 +187,38 @@
       if (this.#leader === undefined) await this.#found.wait(waitRemaining);
     }
   }
+
+  /**
+   * Calls a store once; ends with TIMEOUT as soon as it has answered no call at all
+   * for the given time, or another store leads.
+   */
+  async #callUntilSilent<N extends HandlerName>(
+    store: string,
+    name: N,
+    options: {
+      readonly request: InternalHandlers[N]["request"];
+      readonly timeoutMilliseconds: number;
+      readonly silenceMilliseconds: number;
+    },
+  ): Promise<Outcome<InternalHandlers[N]["reply"]>> {
+    const { silenceMilliseconds, ...call } = options;
+    const silence = new AbortController();
+    let checkedAt = performance.now();
+    const timer = setInterval(() => {
+      const isOther = this.#leader !== undefined && this.#leader !== store;
+      if (isOther || !this.hasAnsweredSince(store, checkedAt)) silence.abort();
+      checkedAt = performance.now();
+    }, silenceMilliseconds);
+    const outcome = await this.callStore(store, name, {
+      ...call,
+      signal: silence.signal,
+    });
+    clearInterval(timer);
+    const isSilent = silence.signal.aborted && outcome.err &&
+      outcome.val.code === RESULT_CODES.CANCELLED;
+    if (!isSilent) return outcome;
+    return fail(RESULT_CODES.TIMEOUT, `${store} does not answer`);
+  }
 }
 
 function failWithoutLeader() {
--- a/packages/gateway/src/site/site_follower.ts
+++ b/packages/gateway/src/site/site_follower.ts
@@ -6,6 +6,7 @@
   type Child,
   type FollowReply,
   type Logger,
+  RESULT_CODES,
   sleep,
   WakeSignal,
 } from "@mallowlift/core";
@@ -144,7 +145,11 @@
         : hold + REPLY_MARGIN_MILLISECONDS,
     });
     if (reply.err) {
-      if (client.leader === store) {
+      // A leader that answers other calls is slow, not lost; a search for a leader
+      // would only add to its load.
+      const isSlow = reply.val.code === RESULT_CODES.TIMEOUT &&
+        client.hasAnsweredSince(store, sentAt);
+      if (client.leader === store && !isSlow) {
         client.setLeader(undefined);
         this.#logLoss(store, reply.val.code.name);
       }
