Calls carry how long their sender waits

Receivers turn it into a deadline by their own clock, from the age of the request: the difference of the clocks is the smallest that the connection has shown.

--- a/packages/consensus/src/mocks/test_cluster.ts
+++ b/packages/consensus/src/mocks/test_cluster.ts
@@ -273,6 +273,7 @@
       peer: id,
       signal: new AbortController().signal,
       ageMilliseconds: 0,
+      deadlineAt: Infinity,
       sendChunk: () => undefined,
     };
     return await join({ group: GROUP, member, knowsItself }, context);
--- a/packages/core/src/mod.ts
+++ b/packages/core/src/mod.ts
@@ -5,6 +5,7 @@
 export * from "./result/coded_error.ts";
 export * from "./shared/message_size.ts";
 export * from "./shared/sleep.ts";
+export * from "./shared/recent_minimum.ts";
 export * from "./shared/serial_queue.ts";
 export * from "./shared/wake_signal.ts";
 export * from "./shared/digest.ts";
--- a/packages/store/src/request_context.ts
+++ b/packages/store/src/request_context.ts
@@ -4,4 +4,6 @@
   readonly signal: AbortSignal;
   /** How long the request was under way before it was read, ms. */
   readonly ageMilliseconds: number;
+  /** When the caller stops to wait, by the local monotonic clock, ms. */
+  readonly deadlineAt: number;
 }
--- a/packages/transport/src/connection.ts
+++ b/packages/transport/src/connection.ts
@@ -153,6 +153,7 @@
       id,
       name,
       sentAt: Math.round(now),
+      timeout: Math.ceil(options.timeoutMilliseconds),
       body: request,
     });
     this.#expectData(now);
@@ -308,10 +309,13 @@
         "This process does not serve the called method",
       );
     }
+    const readAt = performance.now();
+    const ageMilliseconds = this.#findAge(frame, readAt);
     const context: CallContext<unknown> = {
       peer: this.peer,
       signal,
-      ageMilliseconds: this.#findAge(frame, performance.now()),
+      ageMilliseconds,
+      deadlineAt: readAt - ageMilliseconds + (frame.timeout ?? Infinity),
       sendChunk: (body) => {
         if (signal.aborted) return;
         this.#send({ type: "chunk", id: frame.id, body });
--- a/packages/transport/src/frame.ts
+++ b/packages/transport/src/frame.ts
@@ -22,6 +22,8 @@
    * missing in earlier releases.
    */
   readonly sentAt?: number;
+  /** Time that the sender waits for the reply, ms; only in a call, as `sentAt`. */
+  readonly timeout?: number;
   readonly body?: unknown;
 }
 
@@ -126,9 +128,13 @@
 
 function isFrame(value: unknown): value is Frame {
   if (typeof value !== "object" || value === null) return false;
-  const { type, id, name, sentAt } = value as Partial<Frame>;
+  const { type, id, name, sentAt, timeout } = value as Partial<Frame>;
   if (typeof type !== "string" || !FRAME_TYPES.includes(type)) return false;
   if (!Number.isSafeInteger(id)) return false;
-  if (sentAt !== undefined && !Number.isFinite(sentAt)) return false;
+  if (!isOptionalTime(sentAt) || !isOptionalTime(timeout)) return false;
   return type !== "call" || typeof name === "string";
 }
+
+function isOptionalTime(value: unknown): boolean {
+  return value === undefined || Number.isFinite(value);
+}
--- a/packages/transport/src/handlers.ts
+++ b/packages/transport/src/handlers.ts
@@ -13,6 +13,11 @@
    * {@linkcode RequestAgeEstimator}; 0 if the sender does not tell when it sent it.
    */
   readonly ageMilliseconds: number;
+  /**
+   * When the sender stops to wait for the reply, by the local monotonic clock, ms;
+   * Infinity if the sender does not tell.
+   */
+  readonly deadlineAt: number;
   /** Sends one chunk of a streamed reply. */
   sendChunk(chunk: Chunk): void;
 }
--- a/packages/transport/src/request_age.ts
+++ b/packages/transport/src/request_age.ts
@@ -1,5 +1,7 @@
 /** Estimates how long a request was under way to a process whose clock differs from its sender's. */
 
+import { RecentMinimum } from "@mallowlift/core";
+
 /**
  * Window over which the smallest clock difference is kept, ms. Monotonic clocks
  * that drift by 100 ppm differ by 6 ms more after one window.
@@ -20,10 +22,7 @@
  * ```
  */
 export class RequestAgeEstimator {
-  #windowStart = -Infinity;
-  #smallest = Infinity;
-  /** Smallest difference in the window before; Infinity if there was none. */
-  #smallestBefore = Infinity;
+  readonly #smallest = new RecentMinimum(WINDOW_MILLISECONDS);
 
   /**
    * Returns the time since the request was sent, beyond that of the fastest
@@ -36,13 +35,8 @@
     request: { readonly sentAt: number; readonly readAt: number },
   ): number {
     const { sentAt, readAt } = request;
-    if (readAt - this.#windowStart >= WINDOW_MILLISECONDS) {
-      this.#windowStart = readAt;
-      this.#smallestBefore = this.#smallest;
-      this.#smallest = Infinity;
-    }
     const difference = readAt - sentAt;
-    this.#smallest = Math.min(this.#smallest, difference);
-    return difference - Math.min(this.#smallest, this.#smallestBefore);
+    this.#smallest.record(difference, readAt);
+    return difference - this.#smallest.value;
   }
 }
