Leaders limit new programs while commands wait, and decide nothing for those who left

Callers saw too little served: a leader admitted new programs as long as one command waited for less than 800 ms, while a program needs a dozen in a row, so that none of those admitted ended in time.

Now new programs start at a rate that falls with the delay of commands, measured from the sending of a request to its expected commit; requests whose sender has stopped to wait are not proposed, nor begins that cannot commit in time; a settlement of a turn that has reserved nothing needs no entry.

--- a/packages/consensus/src/group/admission_control.ts
+++ b/packages/consensus/src/group/admission_control.ts
@@ -146,8 +146,8 @@
     waiting: PendingEntries,
     now: number,
   ): number {
-    if (findQueuedCost(waiting) < ALWAYS_ADMITTED_BYTES) return 0;
-    return this.estimateWait(waiting, now) / MAX_WAIT_MILLISECONDS[urgency];
+    return this.estimateQueueWait(waiting, now) /
+      MAX_WAIT_MILLISECONDS[urgency];
   }
 
   /** Returns the delay after which a rejected caller should retry, ms. */
@@ -157,6 +157,15 @@
     return Math.round(Math.min(max, Math.max(min, expected)));
   }
 
+  /**
+   * Estimates the time until an entry that is appended now commits, ms; 0 while the
+   * queued cost is always admitted.
+   */
+  estimateQueueWait(waiting: PendingEntries, now: number): number {
+    if (findQueuedCost(waiting) < ALWAYS_ADMITTED_BYTES) return 0;
+    return this.estimateWait(waiting, now);
+  }
+
   /** Estimates the time until an entry that is appended now commits, ms. */
   estimateWait(waiting: PendingEntries, now: number): number {
     const age = Math.max(0, now - waiting.oldestAt);
--- a/packages/consensus/src/group/replicated_group.ts
+++ b/packages/consensus/src/group/replicated_group.ts
@@ -207,6 +207,16 @@
     };
   }
 
+  /** Returns the expected time until a command that is proposed now commits, ms. */
+  estimateWait(now: number): number {
+    return this.#admission.estimateQueueWait(this.#applier.waiting, now);
+  }
+
+  /** Returns the delay after which a rejected caller should retry, ms. */
+  findRetryAfter(now: number): number {
+    return this.#admission.findRetryAfter(this.#applier.waiting, now);
+  }
+
   /** Confirms with a quorum that this replica still leads. */
   async confirmLeadership(): Promise<Outcome<void>> {
     const leadership = this.#leadership;
--- /dev/null
+++ b/packages/store/src/program_admission.ts
@@ -0,0 +1,207 @@
+/**
+ * Limits the rate at which new programs start while requests keep waiting at the
+ * leader, so that programs that have started end in time.
+ *
+ * A program needs many commands, one after the other, and each of them waits: a
+ * queue that a single command can afford makes a whole program late. So new programs
+ * are limited long before a command would be rejected for its own wait.
+ */
+
+import { RecentMinimum } from "@mallowlift/core";
+
+/** Interval at which the limit is adapted, ms. */
+const INTERVAL_MILLISECONDS = 100;
+/** Smallest mean delay of commands at which the leader counts as full, ms. */
+const MIN_TARGET_MILLISECONDS = 40;
+/**
+ * Commands that may wait at a leader that is not full. A slow one takes longer for them,
+ * and it would idle if new programs were limited by the same delay as at a fast one.
+ */
+const TARGET_COMMANDS = 20;
+/**
+ * Delay beyond the target at which no more programs would start, in targets. Between
+ * the two, the rate of new programs falls in proportion to the delay.
+ */
+const DELAY_RANGE = 2;
+/**
+ * Successive intervals with a delay above the target after which new programs are
+ * limited. A short pause of the leader delays commands as well, and a refusal costs a
+ * caller more than such a wait.
+ */
+const INTERVALS_UNTIL_LIMITED = 4;
+/** Successive intervals without a refusal after which the limit is lifted. */
+const INTERVALS_UNTIL_LIFTED = 10;
+/** Commands in an interval below which their delay tells nothing about the load. */
+const MIN_COMMANDS = 5;
+/**
+ * Part by which the limit changes in an interval, for a delay that is off the target by
+ * the whole range. Programs act on the load for seconds, so the limit moves slowly.
+ */
+const GAIN = 0.03;
+/** Largest part of the range by which a delay counts as below the target. */
+const MAX_SHORTFALL = 0.3;
+/**
+ * Smallest rate that is admitted, as a part of the rate at which programs started
+ * before the limit. Commands may be delayed by something else than programs, which no
+ * limit on them ends.
+ */
+const MIN_RATE_PART = 0.15;
+/** Time over which the rate of programs is averaged, ms. */
+const RATE_MILLISECONDS = 1_000;
+/** Time for which unused starts are carried over, ms. */
+const BURST_MILLISECONDS = 100;
+/**
+ * Time for which the fastest commit is kept, ms. What commits take beyond it is delay:
+ * a quorum with slow disks or long links is not overloaded.
+ */
+const FASTEST_COMMIT_MILLISECONDS = 60_000;
+/** Bounds of the time after which a rejected caller should return, ms. */
+const RETRY_MILLISECONDS = { min: 200, max: 2_000 };
+
+/** How long a command waits before and after its request is read. */
+export interface CommandDelay {
+  /** Age of the request when it is read, ms. */
+  readonly ageMilliseconds: number;
+  /** Expected time until the command commits, ms. */
+  readonly expectedMilliseconds: number;
+}
+
+/**
+ * Admits new programs, at a limited rate while commands are delayed.
+ *
+ * @example
+ * ```ts
+ * const admission = new ProgramAdmission();
+ * admission.recordCommand({ ageMilliseconds: 5, expectedMilliseconds: 0 }, now);
+ * admission.tryAdmit(now); // true
+ * ```
+ */
+export class ProgramAdmission {
+  readonly #fastestCommit = new RecentMinimum(FASTEST_COMMIT_MILLISECONDS);
+  #intervalStart = -Infinity;
+  #commands = 0;
+  #delaySum = 0;
+  #admitted = 0;
+  #refused = 0;
+  /** Average rate of commands, per ms. */
+  #commandRate = 0;
+  /** Average rate at which programs start, per ms. */
+  #startRate = 0;
+  /** Rate of programs that fits the load, per ms; Infinity while they are not limited. */
+  #limit = Infinity;
+  /** Smallest rate that is admitted, per ms. */
+  #minRate = 0;
+  /** Rate at which programs are admitted now, per ms. */
+  #admittedRate = Infinity;
+  /** Programs that may start now. */
+  #credit = 0;
+  #creditedAt = 0;
+  #delayedIntervals = 0;
+  #calmIntervals = 0;
+  /** Part of the programs of the last interval that were refused. */
+  #refusedPart = 0;
+
+  /** True while new programs are limited. */
+  get isLimiting(): boolean {
+    return this.#limit !== Infinity;
+  }
+
+  /** Records a command whose request has been read. */
+  recordCommand(command: CommandDelay, now: number): void {
+    this.#adapt(now);
+    const { ageMilliseconds, expectedMilliseconds } = command;
+    this.#commands++;
+    const fastestMilliseconds = this.#fastestCommit.value;
+    this.#delaySum += ageMilliseconds +
+      Math.max(0, expectedMilliseconds - fastestMilliseconds);
+  }
+
+  /** Records how long a command took to commit, ms. */
+  recordCommit(milliseconds: number, now: number): void {
+    this.#fastestCommit.record(milliseconds, now);
+  }
+
+  /** Decides whether a new program may start. */
+  tryAdmit(now: number): boolean {
+    this.#adapt(now);
+    if (this.isLimiting) {
+      const earned = (now - this.#creditedAt) * this.#admittedRate;
+      const most = Math.max(1, BURST_MILLISECONDS * this.#admittedRate);
+      this.#credit = Math.min(most, this.#credit + earned);
+      this.#creditedAt = now;
+      if (this.#credit < 1) {
+        this.#refused++;
+        return false;
+      }
+      this.#credit--;
+    }
+    this.#admitted++;
+    return true;
+  }
+
+  /** Returns the time after which a rejected caller should return, ms. */
+  findRetryAfter(): number {
+    const { min, max } = RETRY_MILLISECONDS;
+    return Math.round(min + (max - min) * this.#refusedPart);
+  }
+
+  #adapt(now: number): void {
+    const milliseconds = now - this.#intervalStart;
+    if (milliseconds < INTERVAL_MILLISECONDS) return;
+    const delay = this.#commands < MIN_COMMANDS
+      ? 0
+      : this.#delaySum / this.#commands;
+    this.#averageRates(milliseconds);
+    const target = Math.max(
+      MIN_TARGET_MILLISECONDS,
+      TARGET_COMMANDS / this.#commandRate,
+    );
+    const excess = (delay - target) / (DELAY_RANGE * target);
+    this.#countIntervals(excess > 0);
+    this.#adaptLimit(excess, now);
+    const tried = this.#admitted + this.#refused;
+    this.#refusedPart = tried === 0 ? 0 : this.#refused / tried;
+    this.#intervalStart = now;
+    this.#commands = 0;
+    this.#delaySum = 0;
+    this.#admitted = 0;
+    this.#refused = 0;
+  }
+
+  #countIntervals(isDelayed: boolean): void {
+    this.#delayedIntervals = isDelayed ? this.#delayedIntervals + 1 : 0;
+    const isCalm = !isDelayed && this.#refused === 0;
+    this.#calmIntervals = isCalm ? this.#calmIntervals + 1 : 0;
+  }
+
+  #averageRates(milliseconds: number): void {
+    if (milliseconds === Infinity) return;
+    const weight = 1 - Math.exp(-milliseconds / RATE_MILLISECONDS);
+    const commandRate = this.#commands / milliseconds;
+    this.#commandRate += weight * (commandRate - this.#commandRate);
+    const startRate = this.#admitted / milliseconds;
+    this.#startRate += weight * (startRate - this.#startRate);
+  }
+
+  /**
+   * Moves the limit.
+   *
+   * @param excess delay beyond the target, in parts of the range
+   */
+  #adaptLimit(excess: number, now: number): void {
+    if (!this.isLimiting) {
+      if (this.#delayedIntervals < INTERVALS_UNTIL_LIMITED) return;
+      this.#limit = this.#startRate;
+      this.#minRate = MIN_RATE_PART * this.#startRate;
+      this.#credit = 0;
+      this.#creditedAt = now;
+    } else if (this.#calmIntervals >= INTERVALS_UNTIL_LIFTED) {
+      this.#limit = Infinity;
+      return;
+    }
+    const bounded = Math.max(-MAX_SHORTFALL, Math.min(1, excess));
+    this.#limit = Math.max(this.#minRate, this.#limit * (1 - GAIN * bounded));
+    const part = Math.min(1, 1 - bounded);
+    this.#admittedRate = Math.max(this.#minRate, part * this.#limit);
+  }
+}
--- a/packages/store/src/proposal_report.ts
+++ b/packages/store/src/proposal_report.ts
@@ -11,6 +11,7 @@
 const LOG_INTERVAL_MILLISECONDS = 1_000;
 /** Age of a request when it is read from which a line is logged, ms. */
 const OLD_REQUEST_MILLISECONDS = 100;
+const BYTES_PER_KILOBYTE = 1_000;
 
 /** A command that was committed or has failed. */
 export interface FinishedCommand {
@@ -36,6 +37,7 @@
   #abandonedEnds = 0;
   #refused = 0;
   #oldestMilliseconds = 0;
+  #sentBytes = 0;
   #processor = process.cpuUsage();
   #eventLoop = performance.eventLoopUtilization();
 
@@ -58,7 +60,9 @@
       this.#slowestMilliseconds,
       command.milliseconds,
     );
-    if (now - this.#startedAt >= LOG_INTERVAL_MILLISECONDS) this.#write(now);
+    if (now - this.#startedAt >= LOG_INTERVAL_MILLISECONDS) {
+      void this.#write(now);
+    }
   }
 
   /** Records how old a request was when it was read, ms. */
@@ -72,29 +76,27 @@
     this.#refused++;
   }
 
-  #write(now: number): void {
+  async #write(now: number): Promise<void> {
     const eventLoop = performance.eventLoopUtilization();
     const isNotable = this.#repeated > 0 || this.#abandoned > 0 ||
       this.#refused > 0 || this.#oldestMilliseconds >= OLD_REQUEST_MILLISECONDS;
-    if (isNotable) {
-      const { user, system } = process.cpuUsage(this.#processor);
-      const { utilization } = performance.eventLoopUtilization(
-        eventLoop,
-        this.#eventLoop,
-      );
-      this.#logger.info("Commands repeated or abandoned", {
-        decided: this.#decided,
-        repeated: this.#repeated,
-        unheard: this.#abandoned,
-        unheard_ends: this.#abandonedEnds,
-        refused: this.#refused,
-        oldest_request_ms: Math.round(this.#oldestMilliseconds),
-        processor_ms: Math.round((user + system) / 1_000),
-        event_loop_busy: Number(utilization.toFixed(2)),
-        slowest_ms: Math.round(this.#slowestMilliseconds),
-        span_ms: Math.round(now - this.#startedAt),
-      });
-    }
+    const { user, system } = process.cpuUsage(this.#processor);
+    const { utilization } = performance.eventLoopUtilization(
+      eventLoop,
+      this.#eventLoop,
+    );
+    const fields = {
+      decided: this.#decided,
+      repeated: this.#repeated,
+      unheard: this.#abandoned,
+      unheard_ends: this.#abandonedEnds,
+      refused: this.#refused,
+      oldest_request_ms: Math.round(this.#oldestMilliseconds),
+      processor_ms: Math.round((user + system) / 1_000),
+      event_loop_busy: Number(utilization.toFixed(2)),
+      slowest_ms: Math.round(this.#slowestMilliseconds),
+      span_ms: Math.round(now - this.#startedAt),
+    };
     this.#startedAt = now;
     this.#decided = 0;
     this.#repeated = 0;
@@ -105,5 +107,21 @@
     this.#oldestMilliseconds = 0;
     this.#processor = process.cpuUsage();
     this.#eventLoop = eventLoop;
+    const sentBytes = await this.#takeSentBytes();
+    if (!isNotable) return;
+    this.#logger.info("Commands repeated or abandoned", {
+      ...fields,
+      sent_kb: Math.round(sentBytes / BYTES_PER_KILOBYTE),
+    });
+  }
+
+  /** Returns the bytes sent to all daemons since the last call. */
+  async #takeSentBytes(): Promise<number> {
+    const { values } = await this.#metrics.peerBytes.get();
+    const total = values.find(({ labels }) => labels.direction === "sent")
+      ?.value ?? 0;
+    const sentBytes = total - this.#sentBytes;
+    this.#sentBytes = total;
+    return sentBytes;
   }
 }
--- a/packages/store/src/shared_commands.ts
+++ b/packages/store/src/shared_commands.ts
@@ -36,6 +36,11 @@
 export class SharedCommands<T> {
   readonly #inFlight = new Map<string, SharedCommand<T>>();
 
+  /** True if a command with this key is in flight. */
+  has(key: string): boolean {
+    return this.#inFlight.has(key);
+  }
+
   /** Joins the command in flight under this key, or creates one. */
   async submit(
     key: string,
--- a/packages/store/src/site_owner.ts
+++ b/packages/store/src/site_owner.ts
@@ -39,6 +39,7 @@
 import { FairShares } from "./fair_shares.ts";
 import { FollowOwner } from "./follow_owner.ts";
 import { LatestUpstreams } from "./latest_upstreams.ts";
+import { ProgramAdmission } from "./program_admission.ts";
 import { ProposalReport } from "./proposal_report.ts";
 import type { ProposeCommand } from "./propose_command.ts";
 import type { RequestContext } from "./request_context.ts";
@@ -76,6 +77,7 @@
   readonly #options: SiteOwnerOptions;
   readonly #latestUpstreams = new LatestUpstreams();
   readonly #fairShares = new FairShares();
+  readonly #programs = new ProgramAdmission();
   readonly #report: ProposalReport;
   /** Commands in flight, by their {@linkcode createDeduplicationKey}. */
   readonly #sharedCommands = new SharedCommands<Outcome<Applied>>();
@@ -205,12 +207,69 @@
     });
   }
 
-  #proposeFor(
+  /** Proposes a command unless its caller cannot get the result in time. */
+  async #proposeFor(
     caller: RequestContext,
     command: SiteCommand,
   ): Promise<Outcome<SiteResult>> {
-    this.#report.recordAge(command.kind, caller.ageMilliseconds);
-    return this.#propose(command, caller.signal);
+    const now = performance.now();
+    const { ageMilliseconds, deadlineAt, signal } = caller;
+    this.#report.recordAge(command.kind, ageMilliseconds);
+    const group = this.#options.getGroup();
+    const isShared = this.#sharedCommands.has(createDeduplicationKey(command));
+    if (group === undefined || !group.isLeading || isShared) {
+      return await this.#propose(command, signal);
+    }
+    if (this.#isNeedlessSettlement(command)) return Ok(ALREADY_DONE);
+    const expectedMilliseconds = group.estimateWait(now);
+    this.#programs.recordCommand(
+      { ageMilliseconds, expectedMilliseconds },
+      now,
+    );
+    if (now >= deadlineAt) return this.#refuseExpired();
+    if (command.kind !== "begin") return await this.#propose(command, signal);
+    const urgency = findUrgency(command, this.#options.state);
+    if (urgency === URGENCIES.START && !this.#programs.tryAdmit(now)) {
+      return this.#refuseForLoad(this.#programs.findRetryAfter());
+    }
+    if (now + expectedMilliseconds >= deadlineAt) {
+      return this.#refuseForLoad(group.findRetryAfter(now));
+    }
+    return await this.#propose(command, signal);
+  }
+
+  /**
+   * True if a command settles a turn that has reserved nothing and cannot do so any
+   * more: a gateway settles each turn whose begin it has given up, also if that was
+   * never proposed.
+   */
+  #isNeedlessSettlement(command: SiteCommand): boolean {
+    if (command.kind !== "end" || command.whole || command.tokens > 0) {
+      return false;
+    }
+    const { programId, turnId } = command;
+    const beginKey = createDeduplicationKey({
+      kind: "begin",
+      programId,
+      turnId,
+    });
+    return !this.#sharedCommands.has(beginKey) &&
+      !this.#options.state.budgets.hasReserved(programId, turnId);
+  }
+
+  #refuseExpired(): ReturnType<typeof fail> {
+    countRefusal(this.#options.metrics, "owner", RESULT_CODES.TIMEOUT);
+    this.#report.recordRefusal();
+    return CANCELLED;
+  }
+
+  #refuseForLoad(retryMilliseconds: number): ReturnType<typeof fail> {
+    this.#countRefusedForLoad();
+    return fail(
+      RESULT_CODES.LEADER_BUSY,
+      RESULT_CODES.LEADER_BUSY.meaning,
+      retryMilliseconds,
+    );
   }
 
   async #propose(
@@ -238,6 +297,7 @@
           if (isRefusedForLoad(outcome)) return this.#countRefusedForLoad();
           const now = performance.now();
           const milliseconds = now - startedAt;
+          this.#programs.recordCommit(milliseconds, now);
           this.#report.record(
             { kind: command.kind, milliseconds, ...end },
             now,
@@ -265,12 +325,7 @@
       .findProposalLoad(urgency, now);
     const share = { workspace: quota.workspace, weight: quota.most };
     if (this.#fairShares.tryAdmit(share, part, now)) return Ok(undefined);
-    this.#countRefusedForLoad();
-    return fail(
-      RESULT_CODES.LEADER_BUSY,
-      RESULT_CODES.LEADER_BUSY.meaning,
-      retryMilliseconds,
-    );
+    return this.#refuseForLoad(retryMilliseconds);
   }
 
   #countRefusedForLoad(): void {
@@ -292,8 +347,17 @@
   return outcome.err && outcome.val.code === RESULT_CODES.LEADER_BUSY;
 }
 
+/** The part of a command that identifies it. */
+type KeyedCommand =
+  | SiteCommand
+  | {
+    readonly kind: "begin";
+    readonly programId: string;
+    readonly turnId: string;
+  };
+
 /** Returns the key that a retry of a command has in common with the original. */
-function createDeduplicationKey(command: SiteCommand): string {
+function createDeduplicationKey(command: KeyedCommand): string {
   if (command.kind === "begin" || command.kind === "end") {
     return `${command.kind} ${command.programId} ${command.turnId}`;
   }
