Requests that wait start together, so that their entries share a message

Sixteen requests now start in one go in each iteration of the event loop. What a leader refuses, and why, is decided in a class of its own, without a network.

--- a/packages/store/src/proposal_report.ts
+++ b/packages/store/src/proposal_report.ts
@@ -6,6 +6,7 @@
 import { performance } from "node:perf_hooks";
 import process from "node:process";
 import type { Logger, Metrics } from "@mallowlift/core";
+import { REQUEST_REFUSALS, type RequestRefusal } from "./request_admission.ts";
 
 /** Minimum time between two log lines, ms. */
 const LOG_INTERVAL_MILLISECONDS = 1_000;
@@ -78,14 +79,10 @@
     this.#oldestMilliseconds = Math.max(this.#oldestMilliseconds, milliseconds);
   }
 
-  /**
-   * Counts a request that was refused because the leader is overloaded.
-   *
-   * @param part "programs" if the limit on new programs refused it
-   */
-  recordRefusal(part = "owner"): void {
+  /** Counts a request that was refused because the leader is overloaded. */
+  recordRefusal(reason: RequestRefusal): void {
     this.#refused++;
-    if (part === "programs") this.#refusedPrograms++;
+    if (reason === REQUEST_REFUSALS.LIMITED) this.#refusedPrograms++;
   }
 
   async #write(now: number): Promise<void> {
--- /dev/null
+++ b/packages/store/src/request_admission.ts
@@ -0,0 +1,62 @@
+/** Decides which requests a leader proposes, by the time that their callers have left. */
+
+import { URGENCIES, type Urgency } from "@mallowlift/consensus";
+import { type CommandDelay, ProgramAdmission } from "./program_admission.ts";
+
+/** Reasons for which a request is not proposed; the values are metric labels. */
+export const REQUEST_REFUSALS = {
+  /** Its caller has stopped to wait. */
+  EXPIRED: "expired",
+  /** Its command is not expected to commit in time. */
+  LATE: "owner",
+  /** It starts a program, and new programs are limited. */
+  LIMITED: "programs",
+} as const;
+
+/** One of {@linkcode REQUEST_REFUSALS}. */
+export type RequestRefusal =
+  typeof REQUEST_REFUSALS[keyof typeof REQUEST_REFUSALS];
+
+/** A request that has been read. */
+export interface ReadRequest extends CommandDelay {
+  readonly urgency: Urgency;
+  /** When its caller stops to wait, by the local monotonic clock, ms. */
+  readonly deadlineAt: number;
+}
+
+/**
+ * Refuses what would be decided for nobody, and new programs that would make others
+ * late.
+ *
+ * @example
+ * ```ts
+ * const admission = new RequestAdmission();
+ * admission.findRefusal(request, now); // undefined: it is proposed
+ * ```
+ */
+export class RequestAdmission {
+  readonly #programs = new ProgramAdmission();
+
+  /** Returns why a request is not proposed; undefined if it is. */
+  findRefusal(request: ReadRequest, now: number): RequestRefusal | undefined {
+    const { urgency, deadlineAt, expectedMilliseconds } = request;
+    this.#programs.recordCommand(request, now);
+    if (now >= deadlineAt) return REQUEST_REFUSALS.EXPIRED;
+    // What ends a turn is worth its commit also if that is expected to come late.
+    if (urgency === URGENCIES.FINISH) return undefined;
+    if (now + expectedMilliseconds >= deadlineAt) return REQUEST_REFUSALS.LATE;
+    const isLimited = urgency === URGENCIES.START &&
+      !this.#programs.tryAdmit(now);
+    return isLimited ? REQUEST_REFUSALS.LIMITED : undefined;
+  }
+
+  /** Records how long a command took to commit, ms. */
+  recordCommit(milliseconds: number, now: number): void {
+    this.#programs.recordCommit(milliseconds, now);
+  }
+
+  /** Returns the time after which a program that was limited should start again, ms. */
+  findProgramRetryAfter(): number {
+    return this.#programs.findRetryAfter();
+  }
+}
--- /dev/null
+++ b/packages/store/src/request_admission_test.ts
@@ -0,0 +1,60 @@
+import { URGENCIES, type Urgency } from "@mallowlift/consensus";
+import { test } from "tap";
+import { REQUEST_REFUSALS, RequestAdmission } from "./request_admission.ts";
+
+/** A request that was read at once and whose caller waits for 1 s from time 0. */
+function createRequest(urgency: Urgency, expectedMilliseconds = 0) {
+  return {
+    urgency,
+    expectedMilliseconds,
+    ageMilliseconds: 0,
+    deadlineAt: 1_000,
+  };
+}
+
+// Guards against a leader that is busy with commands for callers who have left.
+test("nothing is proposed for a caller who has stopped to wait", (t) => {
+  const admission = new RequestAdmission();
+  for (const urgency of Object.values(URGENCIES)) {
+    const request = createRequest(urgency);
+    t.equal(admission.findRefusal(request, 999), undefined);
+    t.equal(
+      admission.findRefusal(request, 1_000),
+      REQUEST_REFUSALS.EXPIRED,
+    );
+  }
+  t.end();
+});
+
+test("a begin that cannot commit in time is refused, an end is not", (t) => {
+  const admission = new RequestAdmission();
+  const findRefusal = (urgency: Urgency) =>
+    admission.findRefusal(createRequest(urgency, 600), 500);
+  t.equal(findRefusal(URGENCIES.START), REQUEST_REFUSALS.LATE);
+  t.equal(findRefusal(URGENCIES.CONTINUE), REQUEST_REFUSALS.LATE);
+  t.equal(findRefusal(URGENCIES.FINISH), undefined);
+  t.end();
+});
+
+test("only new programs are limited while commands wait", (t) => {
+  const admission = new RequestAdmission();
+  const refused = { start: 0, continue: 0, finish: 0 };
+  for (let now = 0; now < 5_000; now += 5) {
+    for (const urgency of Object.values(URGENCIES)) {
+      const request = {
+        urgency,
+        expectedMilliseconds: 0,
+        deadlineAt: Infinity,
+      };
+      const refusal = admission.findRefusal(
+        { ...request, ageMilliseconds: 400 },
+        now,
+      );
+      if (refusal === REQUEST_REFUSALS.LIMITED) refused[urgency]++;
+    }
+  }
+  t.ok(refused.start > 500, `${refused.start} of 1,000 new programs`);
+  t.same({ ...refused, start: 0 }, { start: 0, continue: 0, finish: 0 });
+  t.ok(admission.findProgramRetryAfter() > 1_000);
+  t.end();
+});
--- a/packages/store/src/request_queue.ts
+++ b/packages/store/src/request_queue.ts
@@ -1,5 +1,5 @@
 /**
- * Starts the requests of gateways in order of arrival, for a bounded time in each
+ * Starts the requests of gateways in order of arrival, a bounded number in each
  * iteration of the event loop.
  *
  * Requests and replication share one thread. Without a bound, an iteration lasts as
@@ -8,16 +8,13 @@
  * commits less the more it is asked.
  */
 
-import { performance } from "node:perf_hooks";
 import { setImmediate as yieldToEventLoop } from "node:timers/promises";
 
 /**
- * Time for which requests are started in one iteration of the event loop, ms: short
- * beside the interval of heartbeats.
+ * Requests that are started in one iteration of the event loop. They start together,
+ * so that their entries are sent in one message.
  */
-const SLICE_MILLISECONDS = 5;
-/** Started requests after which the list of waiting ones is compacted. */
-const COMPACTION_COUNT = 1_000;
+const MAX_REQUESTS_PER_ITERATION = 16;
 
 /**
  * Requests that wait for their start.
@@ -30,42 +27,38 @@
  */
 export class RequestQueue {
   #waiting: (() => void)[] = [];
-  /** Number of entries at the front of `#waiting` that have been started. */
+  /** Number of requests that were started in this iteration of the event loop. */
   #started = 0;
   #isDraining = false;
 
   /** Number of requests that have not been started yet. */
   get length(): number {
-    return this.#waiting.length - this.#started;
+    return this.#waiting.length;
   }
 
-  /** Starts the work when its turn comes, and returns its result. */
+  /** Starts the work now or when its turn comes, and returns its result. */
   run<T>(work: () => Promise<T>): Promise<T> {
+    if (!this.#isDraining) void this.#drain();
+    if (this.#started < MAX_REQUESTS_PER_ITERATION && this.length === 0) {
+      this.#started++;
+      return work();
+    }
     return new Promise((resolve, reject) => {
       this.#waiting.push(() => void work().then(resolve, reject));
-      if (!this.#isDraining) void this.#drain();
     });
   }
 
+  /** Starts waiting requests in each iteration until there are none left. */
   async #drain(): Promise<void> {
     this.#isDraining = true;
-    while (this.length > 0) {
-      await this.#startSome(performance.now() + SLICE_MILLISECONDS);
-      if (this.length > 0) await yieldToEventLoop();
-    }
+    this.#started = 0;
+    do {
+      await yieldToEventLoop();
+      const next = this.#waiting.slice(0, MAX_REQUESTS_PER_ITERATION);
+      this.#waiting = this.#waiting.slice(next.length);
+      this.#started = next.length;
+      for (const start of next) start();
+    } while (this.#started > 0);
     this.#isDraining = false;
   }
-
-  async #startSome(until: number): Promise<void> {
-    while (this.length > 0 && performance.now() < until) {
-      this.#waiting[this.#started++]?.();
-      if (this.#started >= COMPACTION_COUNT) {
-        this.#waiting = this.#waiting.slice(this.#started);
-        this.#started = 0;
-      }
-      // Lets the started request reach its first wait for something else, so that
-      // its work counts in this slice.
-      await Promise.resolve();
-    }
-  }
 }
--- a/packages/store/src/site_owner.ts
+++ b/packages/store/src/site_owner.ts
@@ -39,9 +39,13 @@
 import { FairShares } from "./fair_shares.ts";
 import { FollowOwner } from "./follow_owner.ts";
 import { LatestUpstreams } from "./latest_upstreams.ts";
-import { ProgramAdmission } from "./program_admission.ts";
 import { ProposalReport } from "./proposal_report.ts";
 import type { ProposeCommand } from "./propose_command.ts";
+import {
+  REQUEST_REFUSALS,
+  RequestAdmission,
+  type RequestRefusal,
+} from "./request_admission.ts";
 import type { RequestContext } from "./request_context.ts";
 import { RetirementOwner } from "./retirement_owner.ts";
 import { SharedCommands } from "./shared_commands.ts";
@@ -77,7 +81,7 @@
   readonly #options: SiteOwnerOptions;
   readonly #latestUpstreams = new LatestUpstreams();
   readonly #fairShares = new FairShares();
-  readonly #programs = new ProgramAdmission();
+  readonly #admission = new RequestAdmission();
   readonly #report: ProposalReport;
   /** Commands in flight, by their {@linkcode createDeduplicationKey}. */
   readonly #sharedCommands = new SharedCommands<Outcome<Applied>>();
@@ -221,21 +225,18 @@
       return await this.#propose(command, signal);
     }
     if (this.#isNeedlessSettlement(command)) return Ok(ALREADY_DONE);
-    const expectedMilliseconds = group.estimateWait(now);
-    this.#programs.recordCommand(
-      { ageMilliseconds, expectedMilliseconds },
-      now,
-    );
-    if (now >= deadlineAt) return this.#refuseExpired();
-    if (command.kind !== "begin") return await this.#propose(command, signal);
-    const urgency = findUrgency(command, this.#options.state);
-    if (urgency === URGENCIES.START && !this.#programs.tryAdmit(now)) {
-      return this.#refuseForLoad(this.#programs.findRetryAfter(), "programs");
-    }
-    if (now + expectedMilliseconds >= deadlineAt) {
-      return this.#refuseForLoad(group.findRetryAfter(now));
-    }
-    return await this.#propose(command, signal);
+    const refusal = this.#admission.findRefusal({
+      urgency: findUrgency(command, this.#options.state),
+      ageMilliseconds,
+      expectedMilliseconds: group.estimateWait(now),
+      deadlineAt,
+    }, now);
+    if (refusal === undefined) return await this.#propose(command, signal);
+    if (refusal === REQUEST_REFUSALS.EXPIRED) return this.#refuseExpired();
+    const retryMilliseconds = refusal === REQUEST_REFUSALS.LIMITED
+      ? this.#admission.findProgramRetryAfter()
+      : group.findRetryAfter(now);
+    return this.#refuseForLoad(retryMilliseconds, refusal);
   }
 
   /**
@@ -259,13 +260,13 @@
 
   #refuseExpired(): ReturnType<typeof fail> {
     countRefusal(this.#options.metrics, "owner", RESULT_CODES.TIMEOUT);
-    this.#report.recordRefusal();
+    this.#report.recordRefusal(REQUEST_REFUSALS.EXPIRED);
     return CANCELLED;
   }
 
   #refuseForLoad(
     retryMilliseconds: number,
-    part = "owner",
+    part: RequestRefusal = REQUEST_REFUSALS.LATE,
   ): ReturnType<typeof fail> {
     this.#countRefusedForLoad(part);
     return fail(
@@ -300,7 +301,7 @@
           if (isRefusedForLoad(outcome)) return this.#countRefusedForLoad();
           const now = performance.now();
           const milliseconds = now - startedAt;
-          this.#programs.recordCommit(milliseconds, now);
+          this.#admission.recordCommit(milliseconds, now);
           this.#report.record(
             { kind: command.kind, milliseconds, ...end },
             now,
@@ -331,7 +332,7 @@
     return this.#refuseForLoad(retryMilliseconds);
   }
 
-  #countRefusedForLoad(part = "owner"): void {
+  #countRefusedForLoad(part: RequestRefusal = REQUEST_REFUSALS.LATE): void {
     this.#report.recordRefusal(part);
     countRefusal(this.#options.metrics, part, RESULT_CODES.LEADER_BUSY);
   }
