A slow leader counts as full after the time of eight commands, not of twenty

At eight commands the delay is 83 ms. A leader of 100 commands a second and more keeps the target of 80 ms.

--- a/packages/store/src/program_admission.ts
+++ b/packages/store/src/program_admission.ts
@@ -17,7 +17,7 @@
  * Commands that may wait at a leader that is not full. A slow one takes longer for them,
  * and it would idle if new programs were limited by the same delay as at a fast one.
  */
-const TARGET_COMMANDS = 20;
+const TARGET_COMMANDS = 8;
 /**
  * Delay beyond the target at which no more programs would start, in targets. Between
  * the two, the rate of new programs falls in proportion to the delay.
