Refused requests take no place among those that start

Callers of a slow leader waited behind refusals: sixteen requests started in an iteration of the event loop, refused or not, so that with 413 refusals in a second only 127 commands were decided and requests were 434 ms old in the mean; refusals themselves came that late. Now a request is refused before it takes a place.

--- a/packages/store/src/request_queue_test.ts
+++ b/packages/store/src/request_queue_test.ts
@@ -59,3 +59,17 @@
     await yieldToEventLoop();
   }
 });
+
+// Guards against requests that wait behind those that are refused.
+test("refused requests take no place of those that start", async (t) => {
+  const queue = new RequestQueue();
+  const started: number[] = [];
+  const results = Array.from({ length: 60 }, (_, number) =>
+    queue.run(() => {
+      started.push(number);
+      return Promise.resolve("started");
+    }, () => number % 4 === 0 ? undefined : "refused"));
+  t.equal(started.length, 15, "all that start do so at once");
+  const ended = await Promise.all(results);
+  t.equal(ended.filter((result) => result === "refused").length, 45);
+});
--- a/packages/store/src/site_owner.ts
+++ b/packages/store/src/site_owner.ts
@@ -68,6 +68,12 @@
  */
 const REFUSAL_LOG_INTERVAL_MILLISECONDS = 10_000;
 
+/** A command as a gateway requests it. */
+export type RequestedCommand =
+  | { readonly kind: "begin" } & BeginTurn
+  | { readonly kind: "end" } & EndTurn
+  | { readonly kind: "charge" } & TakePermits;
+
 /** Result for a caller that has given up and no longer reads it. */
 const CANCELLED = fail(RESULT_CODES.CANCELLED, "The caller has given up");
 /** Result of a command that would change nothing and is therefore not proposed. */
@@ -132,14 +138,14 @@
   /** Begins a turn. */
   async begin(
     request: BeginTurn,
-    caller: RequestContext,
+    signal: AbortSignal,
   ): Promise<Outcome<BeginTurnReply>> {
     // The turns that the gateway already has only affect the reply, so they are
     // not replicated.
     const { missingFrom, knownTurns, ...reserve } = request;
     const at = this.#getSiteTime();
     const command = { kind: "begin", at, ...reserve } as const;
-    const result = await this.#proposeFor(caller, command);
+    const result = await this.#propose(command, signal);
     if (result.err) {
       this.#logRefusedTurn(request, result.val.code);
       return result;
@@ -157,12 +163,12 @@
   /** Ends a turn. */
   async end(
     request: EndTurn,
-    caller: RequestContext,
+    signal: AbortSignal,
   ): Promise<Outcome<EndTurnReply>> {
     this.#latestUpstreams.record(request.programId, request.upstream);
     const at = this.#getSiteTime();
     const command = { kind: "end", at, ...request } as const;
-    const result = await this.#proposeFor(caller, command);
+    const result = await this.#propose(command, signal);
     if (result.err) return result;
     const permits = result.val.grants?.[0]?.granted;
     return Ok(permits === undefined ? {} : { permits });
@@ -171,11 +177,11 @@
   /** Grants permits for requests that begin no turn. */
   async takePermits(
     request: TakePermits,
-    caller: RequestContext,
+    signal: AbortSignal,
   ): Promise<Outcome<TakePermitsReply>> {
     const at = this.#getSiteTime();
     const command = { kind: "charge", at, ...request } as const;
-    const result = await this.#proposeFor(caller, command);
+    const result = await this.#propose(command, signal);
     return result.err ? result : Ok({ grants: result.val.grants ?? [] });
   }
 
@@ -211,27 +217,28 @@
     });
   }
 
-  /** Proposes a command unless its caller cannot get the result in time. */
-  async #proposeFor(
+  /**
+   * Refuses a request whose caller cannot get the result in time, or that starts a
+   * program while these are limited; returns undefined for all others.
+   */
+  refuse(
+    command: RequestedCommand,
     caller: RequestContext,
-    command: SiteCommand,
-  ): Promise<Outcome<SiteResult>> {
+  ): ReturnType<typeof fail> | undefined {
     const now = performance.now();
-    const { ageMilliseconds, deadlineAt, signal } = caller;
+    const { ageMilliseconds, deadlineAt } = caller;
     this.#report.recordAge(command.kind, ageMilliseconds);
     const group = this.#options.getGroup();
     const isShared = this.#sharedCommands.has(createDeduplicationKey(command));
-    if (group === undefined || !group.isLeading || isShared) {
-      return await this.#propose(command, signal);
-    }
-    if (this.#isNeedlessSettlement(command)) return Ok(ALREADY_DONE);
+    if (group === undefined || !group.isLeading || isShared) return undefined;
+    if (this.#isNeedlessSettlement(command)) return undefined;
     const refusal = this.#admission.findRefusal({
       urgency: findUrgency(command, this.#options.state),
       ageMilliseconds,
       expectedMilliseconds: group.estimateWait(now),
       deadlineAt,
     }, now);
-    if (refusal === undefined) return await this.#propose(command, signal);
+    if (refusal === undefined) return undefined;
     if (refusal === REQUEST_REFUSALS.EXPIRED) return this.#refuseExpired();
     const retryMilliseconds = refusal === REQUEST_REFUSALS.LIMITED
       ? this.#admission.findProgramRetryAfter()
@@ -244,7 +251,7 @@
    * more: a gateway settles each turn whose begin it has given up, also if that was
    * never proposed.
    */
-  #isNeedlessSettlement(command: SiteCommand): boolean {
+  #isNeedlessSettlement(command: SiteCommand | RequestedCommand): boolean {
     if (command.kind !== "end" || command.whole || command.tokens > 0) {
       return false;
     }
@@ -287,8 +294,10 @@
     const group = this.#options.getGroup();
     if (group === undefined) return this.#refuseNotLeading();
     const { state } = this.#options;
+    const isNeedless = state.isRedundant(command) ||
+      this.#isNeedlessSettlement(command);
     // A retry after a lost reply needs no further log entry.
-    if (group.isLeading && state.isRedundant(command)) return Ok(ALREADY_DONE);
+    if (group.isLeading && isNeedless) return Ok(ALREADY_DONE);
     const startedAt = performance.now();
     const share = this.#checkFairShare(group, command, startedAt);
     if (share.err) return share;
@@ -354,6 +363,7 @@
 /** The part of a command that identifies it. */
 type KeyedCommand =
   | SiteCommand
+  | RequestedCommand
   | {
     readonly kind: "begin";
     readonly programId: string;
@@ -376,7 +386,10 @@
  * Ends of turns have the highest urgency, then programs that have started, then
  * new programs: a program that is refused at its start has cost nothing yet.
  */
-function findUrgency(command: SiteCommand, state: SiteState): Urgency {
+function findUrgency(
+  command: SiteCommand | RequestedCommand,
+  state: SiteState,
+): Urgency {
   if (command.kind === "charge") return URGENCIES.CONTINUE;
   if (command.kind !== "begin") return URGENCIES.FINISH;
   const isStarted = command.previousId !== "" ||
--- a/packages/store/src/store_app.ts
+++ b/packages/store/src/store_app.ts
@@ -1,12 +1,13 @@
 /** Creates the handlers that a store serves to gateways. */
 
 import { performance } from "node:perf_hooks";
+import type { Outcome } from "@mallowlift/core";
 import type { HandlerTable } from "@mallowlift/transport";
 import { Ok } from "ts-results";
 import type { InstanceReader } from "./instance_reader.ts";
 import type { RequestContext } from "./request_context.ts";
 import { RequestQueue } from "./request_queue.ts";
-import type { SiteOwner } from "./site_owner.ts";
+import type { RequestedCommand, SiteOwner } from "./site_owner.ts";
 
 /**
  * Binds the handlers to the owner, which requires leadership, and to the reader,
@@ -31,27 +32,44 @@
     "site.retirement": (request, { signal }) =>
       owner.retirements.getState(request, signal),
     "turns.begin": (request, context) =>
-      runInTurn(queue, context, (caller) => owner.begin(request, caller)),
+      runInTurn({ kind: "begin", ...request }, context, {
+        queue,
+        owner,
+        handle: () => owner.begin(request, context.signal),
+      }),
     "turns.end": (request, context) =>
-      runInTurn(queue, context, (caller) => owner.end(request, caller)),
+      runInTurn({ kind: "end", ...request }, context, {
+        queue,
+        owner,
+        handle: () => owner.end(request, context.signal),
+      }),
     "quota.take": (request, context) =>
-      runInTurn(queue, context, (caller) => owner.takePermits(request, caller)),
+      runInTurn({ kind: "charge", ...request }, context, {
+        queue,
+        owner,
+        handle: () => owner.takePermits(request, context.signal),
+      }),
   };
 }
 
-/** Handles a request when its turn comes; its wait until then adds to its age. */
+/** Refuses or handles a request when its turn comes; its wait until then adds to its age. */
 function runInTurn<T>(
-  queue: RequestQueue,
+  command: RequestedCommand,
   context: RequestContext,
-  handle: (caller: RequestContext) => Promise<T>,
-): Promise<T> {
+  parts: {
+    readonly queue: RequestQueue;
+    readonly owner: SiteOwner;
+    readonly handle: () => Promise<Outcome<T>>;
+  },
+): Promise<Outcome<T>> {
+  const { queue, owner, handle } = parts;
   const { signal, deadlineAt } = context;
   const sentAt = performance.now() - context.ageMilliseconds;
-  return queue.run(() =>
-    handle({
+  const refuse = () =>
+    owner.refuse(command, {
       signal,
       deadlineAt,
       ageMilliseconds: performance.now() - sentAt,
-    })
-  );
+    });
+  return queue.run(handle, refuse);
 }
