Logs: the age of the document by which a request was handled

A call's end and a refusal had the version of the document, not how long ago a quorum had confirmed that it was the newest, so a gateway that is behind could not be told from one that follows with delay.

--- a/packages/gateway/src/gateway_role.ts
+++ b/packages/gateway/src/gateway_role.ts
@@ -177,6 +177,7 @@
       unread: this.#unread,
       random,
       findListAge: (now) => this.#instanceLists.findAge(now),
+      findDocumentAge: (now) => this.#follower.findConfirmationAge(now),
       logger: logger.forPart("calls"),
       metrics,
     });
--- a/packages/gateway/src/http/caller_server.ts
+++ b/packages/gateway/src/http/caller_server.ts
@@ -77,6 +77,11 @@
   readonly random: () => number;
   /** Returns the time since the instance list was read, ms. */
   readonly findListAge: (now: number) => number;
+  /**
+   * Returns the time since a quorum confirmed that the document in force is the
+   * newest, ms.
+   */
+  readonly findDocumentAge: (now: number) => number;
   readonly logger: Logger;
   readonly metrics: Metrics;
 }
@@ -265,6 +270,7 @@
       reason: error.message,
       target: request.url,
       version: this.#options.getRoutes()?.document.version ?? -1,
+      document_age_ms: this.#findDocumentAge(),
     });
     // With other errors, the rest of the body is read and discarded: closing a
     // connection with unread bytes resets it, and the caller would lose the
@@ -299,6 +305,11 @@
       code,
       milliseconds,
       list_age_ms: Math.round(this.#options.findListAge(performance.now())),
+      document_age_ms: this.#findDocumentAge(),
     });
   }
+
+  #findDocumentAge(): number {
+    return Math.round(this.#options.findDocumentAge(performance.now()));
+  }
 }
