A silent connection between daemons is replaced before callers are misrouted

What callers saw: requests on a route that a change had removed were run up to 2 s longer than the bound allows (2,000 ms after the acknowledgement, 3,000 ms after the disruption), by a gateway whose open connection to the leader had gone silent without a reset while another gateway acknowledged the change.

Cause: a link closed a silent connection only after 4,000 ms, looked once a second, and used nothing else meanwhile: the search for a leader went over the same connection.

Change: after 1,000 ms without data the link opens a second connection, and if the peer completes its handshake while the first stays silent, uses that one. A peer that is frozen, busy or cut off completes none, so its connection is kept as before.

Pings start after 250 ms of silence in place of with every check, and checks come twice a second.

--- a/packages/bench/src/gateway_soak/gateway_faults.ts
+++ b/packages/bench/src/gateway_soak/gateway_faults.ts
@@ -13,6 +13,8 @@
 const PAUSE_MILLISECONDS = { least: 200, most: 1_200 };
 /** Range of the duration of a fault, ms. */
 const DURATION_MILLISECONDS = { least: 200, most: 4_000 };
+/** Range of the pause between two silences of open connections, ms. */
+const SILENCE_PAUSE_MILLISECONDS = { least: 1_000, most: 5_000 };
 /** Longest wait for a store to be ready again after it lost its disk, ms. */
 const REPAIR_MILLISECONDS = 60_000;
 
@@ -95,6 +97,26 @@
   },
 };
 
+/** Silences open connections of one daemon or upstream at a time, for good, until the soak is over. */
+export async function silenceConnections(
+  context: Pick<FaultContext, "site" | "random" | "records" | "sleep"> & {
+    readonly isOver: () => boolean;
+  },
+): Promise<void> {
+  const { site, random, records, isOver } = context;
+  while (!isOver()) {
+    await context.sleep(
+      random.between(
+        SILENCE_PAUSE_MILLISECONDS.least,
+        SILENCE_PAUSE_MILLISECONDS.most,
+      ),
+    );
+    if (isOver()) return;
+    records.count("fault: silence open connections");
+    random.choose([...site.proxies.values()]).silenceOpenConnections();
+  }
+}
+
 /** Injects faults one after the other until the soak is over. */
 export async function injectFaultSeries(
   context: FaultContext & {
--- a/packages/bench/src/gateway_soak/run_gateway_soak.ts
+++ b/packages/bench/src/gateway_soak/run_gateway_soak.ts
@@ -12,6 +12,7 @@
 import {
   FaultLocks,
   injectFaultSeries,
+  silenceConnections,
   sleepUnlessOver,
 } from "./gateway_faults.ts";
 import { GuestCaller } from "./guest_caller.ts";
@@ -101,6 +102,10 @@
   const isOver = () => Date.now() >= endsAt;
   let stream = plan.seed * STREAMS_PER_SEED;
   const createRandom = () => new Random(stream++);
+  // Streams from the end of the seed: taking the next ones instead would change the
+  // random choices of the faults for every seed.
+  const createLastRandom = (number: number) =>
+    new Random((plan.seed + 1) * STREAMS_PER_SEED - number);
   const callers: Promise<void>[] = [];
   for (let number = 0; number < plan.callers; number++) {
     const caller = new ProgramCaller({
@@ -122,9 +127,7 @@
   const guest = new GuestCaller({
     name: "guest",
     site,
-    // The last stream of the seed: taking the next one instead would change the
-    // random choices of the faults for every seed.
-    random: new Random((plan.seed + 1) * STREAMS_PER_SEED - 1),
+    random: createLastRandom(1),
     records,
     isOver,
     getVersion: () => operators.version,
@@ -141,7 +144,14 @@
       isOver,
       print: plan.print,
     }));
-  await Promise.all([...series, ...callers, operatorsRun]);
+  const silences = silenceConnections({
+    site,
+    random: createLastRandom(2),
+    records,
+    sleep: (milliseconds) => sleepUnlessOver(milliseconds, isOver),
+    isOver,
+  });
+  await Promise.all([...series, silences, ...callers, operatorsRun]);
   await checkServedAgain({
     parts: soakSite,
     records,
--- a/packages/core/src/metrics/metrics.ts
+++ b/packages/core/src/metrics/metrics.ts
@@ -66,6 +66,7 @@
   readonly malformedFrames: Counter<"reason">;
   readonly processStallSeconds: Counter;
   readonly peerBytes: Counter<"direction">;
+  readonly silentConnections: Counter;
   readonly unreadBytes: Gauge;
   readonly unsentBytes: Gauge;
   readonly slowCallers: Counter<"reason">;
@@ -225,6 +226,11 @@
       labelNames: ["direction"],
       registers,
     }),
+    silentConnections: new Counter({
+      name: "mallowlift_silent_connections_total",
+      help: "Silent connections to other daemons that were replaced",
+      registers,
+    }),
     processStallSeconds: new Counter({
       name: "mallowlift_stood_still_seconds_total",
       help: "Time for which the process was stalled",
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -147,6 +147,7 @@
       sharedKey: network.sharedKey,
       maxFrameBytes: network.maxFrameBytes,
       connectMilliseconds: network.connectMilliseconds,
+      logger: logger.forPart("links"),
       metrics,
     }),
   );
--- a/packages/mocks/src/proxy/fault_proxy.ts
+++ b/packages/mocks/src/proxy/fault_proxy.ts
@@ -29,6 +29,8 @@
 interface ConnectionPair {
   readonly client: Socket;
   readonly server: Socket;
+  /** True if all bytes are dropped for good. */
+  isSilent: boolean;
 }
 
 /** Address that a proxy connects to. */
@@ -107,6 +109,14 @@
     this.faults.dropToServer = true;
   }
 
+  /**
+   * Drops all bytes of the connections that are open now, for good and without a
+   * reset; new connections work.
+   */
+  silenceOpenConnections(): void {
+    for (const pair of this.#pairs) pair.isSilent = true;
+  }
+
   /** Ends all faults, and closes all connections if bytes may have been lost. */
   heal(): void {
     const mayHaveLostBytes = this.faults.dropToClient ||
@@ -124,7 +134,7 @@
       return void client.destroy();
     }
     const server = connect(this.#target);
-    const pair: ConnectionPair = { client, server };
+    const pair: ConnectionPair = { client, server, isSilent: false };
     this.#pairs.add(pair);
     const close = () => {
       this.#pairs.delete(pair);
@@ -140,8 +150,9 @@
       "data",
       (bytes: Buffer) => this.#bytesFromClients += bytes.length,
     );
-    this.#pipe(client, server, () => this.faults.dropToServer);
-    this.#pipe(server, client, () => this.faults.dropToClient);
+    const { faults } = this;
+    this.#pipe(client, server, () => pair.isSilent || faults.dropToServer);
+    this.#pipe(server, client, () => pair.isSilent || faults.dropToClient);
   }
 
   #pipe(from: Socket, to: Socket, isDropping: () => boolean): void {
--- a/packages/transport/src/connection.ts
+++ b/packages/transport/src/connection.ts
@@ -37,9 +37,17 @@
 } from "./handlers.ts";
 import { RequestAgeEstimator } from "./request_age.ts";
 
-/** Time between two pings on connections that wait for data, ms. */
-const PING_INTERVAL_MILLISECONDS = 1_000;
-/** Time without data after a call before the connection is closed, ms: a few ping intervals. */
+/** Time between two checks of the connections that wait for data, ms. */
+const CHECK_INTERVAL_MILLISECONDS = 500;
+/** Time without data after a call before the peer is pinged, ms; most replies arrive earlier. */
+const PING_DELAY_MILLISECONDS = 250;
+/** Time without data after a call before a replacement is tried, ms: the first ping was sent a check earlier. */
+const REPLACE_DELAY_MILLISECONDS = 1_000;
+/** Size of a call from which the time for its transfer counts, bytes. */
+const LARGE_CALL_BYTES = 65_536;
+/** Lowest bandwidth that is assumed for large calls, bytes per millisecond. */
+const MIN_BYTES_PER_MILLISECOND = 100;
+/** Time without data after a call before the connection is closed, ms. */
 const MAX_SILENCE_MILLISECONDS = 4_000;
 /** Id of a ping that requests a reply. */
 const PING_REQUEST = 1;
@@ -50,18 +58,18 @@
 
 /** Connections that have sent a call and received no data since. */
 const AWAITING_DATA = new Set<Connection>();
-let pingTimer: NodeJS.Timeout | undefined;
+let checkTimer: NodeJS.Timeout | undefined;
 
-/** Schedules pings with one timer for all connections; it stops while none waits for data. */
-function schedulePings(): void {
-  if (pingTimer !== undefined) return;
-  pingTimer = setTimeout(() => {
-    pingTimer = undefined;
+/** Schedules checks with one timer for all connections; it stops while none waits for data. */
+function scheduleChecks(): void {
+  if (checkTimer !== undefined) return;
+  checkTimer = setTimeout(() => {
+    checkTimer = undefined;
     const now = performance.now();
-    for (const connection of [...AWAITING_DATA]) connection.pingOrClose(now);
-    if (AWAITING_DATA.size > 0) schedulePings();
-  }, PING_INTERVAL_MILLISECONDS);
-  pingTimer.unref();
+    for (const connection of [...AWAITING_DATA]) connection.checkSilence(now);
+    if (AWAITING_DATA.size > 0) scheduleChecks();
+  }, CHECK_INTERVAL_MILLISECONDS);
+  checkTimer.unref();
 }
 
 /** Created only once because every streamed call ends with this outcome. */
@@ -73,6 +81,8 @@
 interface PendingCall {
   readonly done: Deferred<Outcome<unknown>>;
   readonly onChunk: ((chunk: never) => void) | undefined;
+  /** Size of the call's frame. */
+  bytes: number;
 }
 
 type AnyHandler = (
@@ -88,6 +98,11 @@
   readonly handlers: HandlerTable;
   /** Called when the connection is closed because the peer sent a malformed or oversized frame. */
   readonly onMalformed: (code: ResultCode) => void;
+  /**
+   * Called repeatedly while the peer does not answer, with the time since which it
+   * has been silent, monotonic, ms.
+   */
+  readonly onSilence?: (silentSince: number) => void;
   readonly metrics?: Metrics;
 }
 
@@ -145,12 +160,14 @@
     }
     const id = this.#nextId++;
     const done = createDeferred<Outcome<unknown>>();
-    this.#pending.set(id, {
+    const pending: PendingCall = {
       done,
       onChunk: options.onChunk as PendingCall["onChunk"],
-    });
+      bytes: 0,
+    };
+    this.#pending.set(id, pending);
     const now = performance.now();
-    this.#send({
+    pending.bytes = this.#send({
       type: "call",
       id,
       name,
@@ -197,24 +214,52 @@
     this.#closed.resolve(undefined);
   }
 
-  /** Pings the peer, or closes the connection after too long a silence; called while it waits for data. */
-  pingOrClose(now: number): void {
-    if (now - this.#silentSince > MAX_SILENCE_MILLISECONDS) return this.close();
+  /**
+   * Pings the peer after a short silence, reports a longer one, and closes the
+   * connection in the end; called while it waits for data.
+   */
+  checkSilence(now: number): void {
+    const silentMilliseconds = now - this.#silentSince;
+    if (silentMilliseconds > MAX_SILENCE_MILLISECONDS) return this.close();
+    if (silentMilliseconds < PING_DELAY_MILLISECONDS) return;
     this.#send({ type: "ping", id: PING_REQUEST });
+    const transferMilliseconds = this.#countLargeBytes() /
+      MIN_BYTES_PER_MILLISECOND;
+    const delay = REPLACE_DELAY_MILLISECONDS + transferMilliseconds;
+    if (silentMilliseconds < delay) return;
+    this.#options.onSilence?.(this.#silentSince);
+  }
+
+  /** True if the connection is open and the peer has been silent ever since a time. */
+  isSilentSince(silentSince: number): boolean {
+    return this.#open && this.#silentSince === silentSince;
+  }
+
+  /** Returns the bytes of large calls that are not answered: pings wait behind them. */
+  #countLargeBytes(): number {
+    let bytes = 0;
+    for (const pending of this.#pending.values()) {
+      if (pending.bytes >= LARGE_CALL_BYTES) bytes += pending.bytes;
+    }
+    return bytes;
   }
 
-  /** Starts pings until data arrives; an idle connection sends none. */
+  /** Starts checks until data arrives; an idle connection needs none. */
   #expectData(now: number): void {
     if (!this.#open || this.#silentSince !== Infinity) return;
     this.#silentSince = now;
     AWAITING_DATA.add(this);
-    schedulePings();
+    scheduleChecks();
   }
 
-  #send(frame: Frame): void {
-    if (!this.#open) return;
+  /** Sends a frame and returns its size; 0 if it is not sent. */
+  #send(frame: Frame): number {
+    if (!this.#open) return 0;
     const socket = this.#options.socket;
-    if (socket.writableLength > MAX_UNSENT_BYTES) return this.close();
+    if (socket.writableLength > MAX_UNSENT_BYTES) {
+      this.close();
+      return 0;
+    }
     if (!this.#corked) {
       // Frames sent in one iteration of the event loop are written together.
       this.#corked = true;
@@ -229,6 +274,7 @@
     const bytes = encodeFrame(frame);
     this.#corkedBytes += bytes.length;
     socket.write(bytes);
+    return bytes.length;
   }
 
   #countBytes(direction: "sent" | "received", bytes: number): void {
@@ -261,7 +307,7 @@
     if (frame.type === "call") return void this.#serve(frame);
     if (frame.type === "ping") {
       if (frame.id !== PING_REQUEST) return;
-      return this.#send({ type: "ping", id: PING_REPLY });
+      return void this.#send({ type: "ping", id: PING_REPLY });
     }
     if (frame.type === "cancel") {
       return this.#running.get(frame.id)?.abort();
--- a/packages/transport/src/peer_link.ts
+++ b/packages/transport/src/peer_link.ts
@@ -8,6 +8,7 @@
   fail,
   type HandlerName,
   type InternalHandlers,
+  type Logger,
   type Metrics,
   type Outcome,
   RESULT_CODES,
@@ -42,6 +43,7 @@
   readonly maxFrameBytes: number;
   /** Timeout of one attempt to connect, and of a call's wait for a connection, ms. */
   readonly connectMilliseconds: number;
+  readonly logger?: Logger;
   readonly metrics?: Metrics;
 }
 
@@ -56,6 +58,7 @@
   #lastUsedAt = performance.now();
   /** True after a failed attempt to connect: calls then fail at once, so that the caller can use another peer. */
   #lastAttemptFailed = false;
+  #isReplacing = false;
 
   constructor(address: string, options: PeerLinkOptions) {
     this.address = address;
@@ -126,11 +129,34 @@
       this.#connection = connection;
       if (this.#stopped.signal.aborted) connection.close();
       this.#attemptEnded.wake();
-      await connection.closed;
+      while (this.#connection?.isOpen) await this.#connection.closed;
       await sleep(MIN_RETRY_DELAY_MILLISECONDS, this.#stopped.signal);
     }
   }
 
+  /**
+   * Replaces a silent connection if the peer completes the handshake of a new one
+   * first. Connections can go silent without a reset, for example if a firewall
+   * discards their state; a frozen or unreachable peer accepts no new one either.
+   */
+  async #replaceSilent(silentSince: number): Promise<void> {
+    const silent = this.#connection;
+    if (this.#isReplacing || silent === undefined) return;
+    this.#isReplacing = true;
+    const replacement = await this.#connect();
+    this.#isReplacing = false;
+    if (replacement === undefined) return;
+    if (!silent.isSilentSince(silentSince)) return replacement.close();
+    this.#connection = replacement;
+    silent.close();
+    const { logger, metrics } = this.#options;
+    metrics?.silentConnections.inc();
+    logger?.warn("Silent connection replaced", {
+      address: this.address,
+      silent_ms: Math.round(performance.now() - silentSince),
+    });
+  }
+
   async #connect(): Promise<Connection | undefined> {
     const socket = connectSocket(parseAddress(this.address));
     const limit = this.#options.connectMilliseconds;
@@ -168,6 +194,7 @@
       peer: this.address,
       handlers: {},
       onMalformed: () => undefined,
+      onSilence: (silentSince) => void this.#replaceSilent(silentSince),
       metrics: this.#options.metrics,
     });
   }
--- a/packages/transport/src/peer_link_test.ts
+++ b/packages/transport/src/peer_link_test.ts
@@ -8,7 +8,7 @@
   SILENT_LOGGER,
 } from "@mallowlift/core";
 import { FaultProxy } from "@mallowlift/mocks";
-import { test } from "tap";
+import { type Test, test } from "tap";
 import { Ok } from "ts-results";
 import { parseAddress } from "./address.ts";
 import { Connection } from "./connection.ts";
@@ -39,6 +39,24 @@
   return new PeerLink(address, { name: "test", sharedKey, ...LIMITS });
 }
 
+/** Starts a peer that never answers; returns a function that connects to it. */
+async function startSilentPeer(t: Test): Promise<() => Connection> {
+  const silent = createServer({ pauseOnConnect: true });
+  await new Promise<void>((resolve) =>
+    silent.listen(0, "127.0.0.1", () => resolve())
+  );
+  t.teardown(() => silent.close());
+  const { port } = silent.address() as AddressInfo;
+  return () =>
+    new Connection({
+      socket: connect(port, "127.0.0.1"),
+      reader: new FrameReader(1_024),
+      peer: "silent",
+      handlers: {},
+      onMalformed: () => undefined,
+    });
+}
+
 test("a call returns its chunks and its reply, or the code of an error", async (t) => {
   const { server, address } = await startServer({
     "attempts.attach": (request, context) => {
@@ -135,20 +153,7 @@
 });
 
 test("a connection that receives nothing after a call is closed, an idle one stays open", async (t) => {
-  const silent = createServer({ pauseOnConnect: true });
-  await new Promise<void>((resolve) =>
-    silent.listen(0, "127.0.0.1", () => resolve())
-  );
-  t.teardown(() => silent.close());
-  const { port } = silent.address() as AddressInfo;
-  const connectToSilentPeer = () =>
-    new Connection({
-      socket: connect(port, "127.0.0.1"),
-      reader: new FrameReader(1_024),
-      peer: "silent",
-      handlers: {},
-      onMalformed: () => undefined,
-    });
+  const connectToSilentPeer = await startSilentPeer(t);
   const idle = connectToSilentPeer();
   const called = connectToSilentPeer();
   const answer = await called.call("replica.status", {}, {
@@ -158,3 +163,54 @@
   t.ok(idle.isOpen);
   idle.close();
 });
+
+// Guards against calls that go on failing over a connection that has gone silent
+// without a reset, although a new connection would work.
+test("a silent connection is replaced before the silence closes it", async (t) => {
+  const { server, address } = await startServer({
+    "replica.status": () => Promise.resolve(fail(RESULT_CODES.NOT_LEADER, "")),
+  });
+  const proxy = new FaultProxy(parseAddress(address));
+  await proxy.start();
+  const link = createLink(proxy.address);
+  await link.call("replica.status", {}, CALL);
+  const unreplaced = (await startSilentPeer(t))();
+  proxy.silenceOpenConnections();
+  const closed = unreplaced.call("replica.status", {}, {
+    timeoutMilliseconds: 60_000,
+  });
+  const lost = await link.call("replica.status", {}, CALL);
+  t.equal(lost.err && lost.val.code, RESULT_CODES.CONNECTION_LOST);
+  const answered = await link.call("replica.status", {}, CALL);
+  t.equal(answered.err && answered.val.code, RESULT_CODES.NOT_LEADER);
+  t.ok(unreplaced.isOpen, "the silence is not over yet");
+  await closed;
+  link.stop();
+  await proxy.stop();
+  await server.stop();
+});
+
+// Guards against the loss of calls in flight to a peer that is busy or frozen.
+test("the connection to a silent peer that accepts no other one is kept", async (t) => {
+  const { server, address } = await startServer({
+    "replica.status": () => Promise.resolve(fail(RESULT_CODES.NOT_LEADER, "")),
+  });
+  const proxy = new FaultProxy(parseAddress(address));
+  await proxy.start();
+  const metrics = createMetrics();
+  const link = new PeerLink(proxy.address, {
+    name: "test",
+    sharedKey: SHARED_KEY,
+    ...LIMITS,
+    metrics,
+  });
+  await link.call("replica.status", {}, CALL);
+  proxy.faults.delayMilliseconds = 1_600;
+  const answered = await link.call("replica.status", {}, CALL);
+  t.equal(answered.err && answered.val.code, RESULT_CODES.NOT_LEADER);
+  const replaced = await metrics.silentConnections.get();
+  t.equal(replaced.values[0]?.value, 0);
+  link.stop();
+  await proxy.stop();
+  await server.stop();
+});
