Logs: what marks the end of an upstream's answer, and how much of it came

A caller got a broken-off stream as complete. The line at a call's end had status, code and events, but did not tell whether a length, a last chunk or the end of the connection ended the upstream's answer, nor how many bytes came, so that no log could tell the three hypotheses apart.

answer_framing.ts decides this once an answer, from its head and the method of its request; the parser, which had asked its listener whether an answer has a body, asks it instead. 'Call ended' and 'Attempt failed' carry framing and answer_bytes.

--- a/packages/gateway/src/calls/open_call.ts
+++ b/packages/gateway/src/calls/open_call.ts
@@ -10,6 +10,7 @@
   GatewayAnswer,
   RawHeaders,
 } from "../dialect.ts";
+import type { ReceivedAnswer } from "../upstreams/answer_framing.ts";
 import type { Admission } from "../workspaces/key_admission.ts";
 import type { UnreadAnswer, UnreadAnswers } from "./unread_answers.ts";
 
@@ -62,6 +63,8 @@
   upstream: string;
   sends: number;
   events: number;
+  /** What arrived from the upstream of the last attempt. */
+  received: ReceivedAnswer | undefined;
 }
 
 /** An open call and the answer that is sent to its caller. */
@@ -74,6 +77,7 @@
     upstream: "",
     sends: 0,
     events: 0,
+    received: undefined,
   };
   readonly #controller = new AbortController();
   /** Until when the permit for the next send is valid, by the local clock, ms. */
--- a/packages/gateway/src/calls/run_attempt.ts
+++ b/packages/gateway/src/calls/run_attempt.ts
@@ -11,6 +11,10 @@
 } from "@mallowlift/core";
 import type { AnswerHead, CallerDialect } from "../dialect.ts";
 import { findHeader } from "../http/headers.ts";
+import type {
+  AnswerFraming,
+  ReceivedAnswer,
+} from "../upstreams/answer_framing.ts";
 import type { ConnectionLimits, Upstream } from "../upstreams/upstream.ts";
 import type {
   UnsentRequest,
@@ -48,7 +52,12 @@
  * How an attempt ended: with a complete answer, certainly not run, or lost, so
  * that it may have run.
  */
-export type AttemptResult =
+export type AttemptResult = AttemptEnd & {
+  /** Undefined if no head of an answer to the request arrived. */
+  readonly received?: ReceivedAnswer | undefined;
+};
+
+type AttemptEnd =
   | {
     readonly kind: "whole";
     readonly head: AnswerHead;
@@ -165,6 +174,8 @@
   readonly #done: Deferred<AttemptResult> = createDeferred<AttemptResult>();
   readonly #sentAt = performance.now();
   #head: AnswerHead | undefined;
+  #framing: AnswerFraming | undefined;
+  #receivedBytes = 0;
   #buffered: Buffer[] = [];
   #bufferedBytes = 0;
   #isStream = false;
@@ -216,7 +227,7 @@
     return result;
   }
 
-  onHead(head: AnswerHead): AnswerMatch {
+  onHead(head: AnswerHead, framing: AnswerFraming): AnswerMatch {
     const { dialect, callId, events } = this.#options;
     const classified = classifyAnswer(dialect.readAnswer(head), callId);
     if (classified.match !== "own") return classified.match;
@@ -224,6 +235,7 @@
     this.#recordKeepAlive(head);
     if (classified.notRun !== undefined) this.#recordNotRun(classified.notRun);
     this.#head = head;
+    this.#framing = framing;
     this.#stopSilenceTimer();
     const type = findHeader(head.headers, "content-type") ?? "";
     this.#isStream = events !== undefined && head.status === 200 &&
@@ -238,6 +250,7 @@
   }
 
   onBody(bytes: Buffer): void {
+    this.#receivedBytes += bytes.length;
     if (this.#isStream) {
       this.#silenceTimer?.refresh();
       if (this.#options.events?.push(bytes) === false) {
@@ -281,12 +294,15 @@
     this.#settle({ kind: "lost", error: createError(code, message) });
   }
 
-  #settle(result: AttemptResult): void {
+  #settle(end: AttemptEnd): void {
     this.#stopSilenceTimer();
     this.#options.flow.setSource(undefined);
     // The connection has written the request, or it is closed by now.
     this.#unsent.release();
-    this.#done.resolve(result);
+    const received = this.#framing === undefined
+      ? undefined
+      : { framing: this.#framing, bytes: this.#receivedBytes };
+    this.#done.resolve({ ...end, received });
   }
 
   #startForwarding(): void {
--- a/packages/gateway/src/calls/send_call.ts
+++ b/packages/gateway/src/calls/send_call.ts
@@ -83,6 +83,7 @@
       isLast,
     });
     call.summary.upstream = upstream.instance.id;
+    call.summary.received = result.received;
     if (result.kind !== "not_run") call.consumePermit();
     if (result.kind === "whole" && isDeliverable(result, call)) {
       const sentAnswer = { answer: result, upstream: upstream.instance.id };
@@ -160,6 +161,8 @@
     running: upstream.running,
     list_age_ms: Math.round(parts.findListAgeMilliseconds(now)),
     left_ms: Math.round(call.findRemainingMilliseconds(now)),
+    framing: call.summary.received?.framing ?? "",
+    answer_bytes: call.summary.received?.bytes ?? 0,
   });
 }
 
--- a/packages/gateway/src/http/caller_server.ts
+++ b/packages/gateway/src/http/caller_server.ts
@@ -284,7 +284,7 @@
   #recordEnd(call: OpenCall): void {
     const { logger, metrics } = this.#options;
     const { facts, route, table, workspace, arrivedAt } = call.parts;
-    const { status, code, upstream, sends, events } = call.summary;
+    const { status, code, upstream, sends, events, received } = call.summary;
     const milliseconds = Math.round(performance.now() - arrivedAt);
     metrics.calls.inc({ kind: route.kind, code });
     metrics.callSeconds.observe({ kind: route.kind }, milliseconds / 1_000);
@@ -301,6 +301,8 @@
       upstream,
       sends,
       events,
+      framing: received?.framing ?? "",
+      answer_bytes: received?.bytes ?? 0,
       status,
       code,
       milliseconds,
--- a/packages/gateway/src/upstreams/answer_parser.ts
+++ b/packages/gateway/src/upstreams/answer_parser.ts
@@ -7,16 +7,19 @@
 import { HTTPParser } from "http-parser-js";
 import type { AnswerHead } from "../dialect.ts";
 import { findHeader } from "../http/headers.ts";
+import {
+  ANSWER_FRAMINGS,
+  type AnswerFraming,
+  findFraming,
+} from "./answer_framing.ts";
 
 const LENGTH_PATTERN = /^\d{1,15}$/;
 const CHUNK_SIZE_PATTERN = /^([0-9a-fA-F]{1,8})(?:;.*)?$/;
 
 /** Receives the parsed parts of the answers. */
 export interface AnswerParserListener {
-  /**
-   * Called with the head of an answer; returns true if the answer has no body.
-   */
-  onHead(head: AnswerHead): boolean;
+  /** Called with the head of an answer and what will mark its end. */
+  onHead(head: AnswerHead, framing: AnswerFraming): void;
   /** Called with each part of a body. */
   onBody(bytes: Buffer): void;
   /**
@@ -60,6 +63,8 @@
   #isInformational = false;
   #isReusable = true;
   #framingError: string | undefined;
+  /** Method of the request that is answered. */
+  requestMethod = "GET";
 
   constructor(listener: AnswerParserListener) {
     const parser = this.#parser;
@@ -74,8 +79,10 @@
       // Without valid framing, the bytes may belong to several answers, so
       // the listener gets none of them.
       if (this.#framingError !== undefined) return 1;
-      const hasNoBody = listener.onHead({ status: info.statusCode, headers });
-      return hasNoBody ? 1 : 0;
+      const head = { status: info.statusCode, headers };
+      const framing = findFraming(head, this.requestMethod);
+      listener.onHead(head, framing);
+      return framing === ANSWER_FRAMINGS.NO_BODY ? 1 : 0;
     };
     parser[HTTPParser.kOnBody] = (chunk, offset, length) => {
       if (this.#framingError === undefined) {
--- a/packages/gateway/src/upstreams/upstream_connection.ts
+++ b/packages/gateway/src/upstreams/upstream_connection.ts
@@ -11,6 +11,7 @@
 import { parseAddress } from "@mallowlift/transport";
 import { Ok } from "ts-results";
 import type { AnswerHead } from "../dialect.ts";
+import type { AnswerFraming } from "./answer_framing.ts";
 import { AnswerParser } from "./answer_parser.ts";
 
 /**
@@ -27,8 +28,11 @@
 
 /** Receives the answer to one request. */
 export interface AnswerListener {
-  /** Called with the head of each answer; returns whose answer it is. */
-  onHead(head: AnswerHead): AnswerMatch;
+  /**
+   * Called with the head of each answer and what will mark its end; returns
+   * whose answer it is.
+   */
+  onHead(head: AnswerHead, framing: AnswerFraming): AnswerMatch;
   /** Called with each part of the body of the request's own answer. */
   onBody(bytes: Buffer): void;
   /**
@@ -59,7 +63,6 @@
   #skippedAnswers = 0;
   #isFlushed = true;
   #isUsable = true;
-  #isHeadRequest = false;
   /**
    * Called once, when the connection has closed and cannot be used any more.
    */
@@ -75,7 +78,7 @@
   private constructor(socket: Socket) {
     this.#socket = socket;
     this.#parser = new AnswerParser({
-      onHead: (head) => this.#handleHead(head),
+      onHead: (head, framing) => this.#handleHead(head, framing),
       onBody: (bytes) => {
         if (this.#isOwnAnswer) this.#listener?.onBody(bytes);
       },
@@ -130,7 +133,7 @@
   send(request: OutgoingRequest, listener: AnswerListener): void {
     this.#listener = listener;
     this.#isFlushed = false;
-    this.#isHeadRequest = request.method === "HEAD";
+    this.#parser.requestMethod = request.method;
     const head = writeHead(request);
     this.#socket.write(Buffer.concat([head, request.body]), () => {
       this.#isFlushed = true;
@@ -156,19 +159,17 @@
     this.#fail("The gateway closed the connection");
   }
 
-  #handleHead(head: AnswerHead): boolean {
+  #handleHead(head: AnswerHead, framing: AnswerFraming): void {
     const listener = this.#listener;
     if (listener === undefined) {
-      this.#fail("The upstream sent bytes without a pending request");
-      return true;
+      return this.#fail("The upstream sent bytes without a pending request");
     }
-    const match = listener.onHead(head);
+    const match = listener.onHead(head, framing);
     this.#isOwnAnswer = match === "own";
     if (match === "spoiled") this.#fail("The answer matches no request");
     if (match === "other" && ++this.#skippedAnswers > MAX_SKIPPED_ANSWERS) {
       this.#fail("Too many answers to earlier requests");
     }
-    return this.#isHeadRequest;
   }
 
   #handleComplete(mayReuse: boolean): void {
