--- a/packages/mocks/src/opaque/opaque_upstream.ts
+++ b/packages/mocks/src/opaque/opaque_upstream.ts
@@ -44,6 +44,12 @@
    * parts; Infinity for never.
    */
   closesAfter: number;
+  /** Closes a stream between two events; otherwise inside an event. */
+  closesBetweenEvents: boolean;
+  /** Sends streams with neither a length nor chunks. */
+  omitsFraming: boolean;
+  /** Sends streams without a Content-Type. */
+  omitsType: boolean;
   /** Time between two events of a stream, ms. */
   eventIntervalMilliseconds: number;
   /** Time from a request to the headers of its answer, ms. */
@@ -64,6 +70,9 @@
     fails: false,
     dropsAnswers: false,
     closesAfter: Infinity,
+    closesBetweenEvents: false,
+    omitsFraming: false,
+    omitsType: false,
     eventIntervalMilliseconds: 1,
     silentMilliseconds: 0,
   };
@@ -152,10 +161,18 @@
     response: ServerResponse,
     lastReceivedEvent: number,
   ): Promise<void> {
-    response.writeHead(OK, { "content-type": "text/event-stream" });
+    if (this.faults.omitsFraming) response.useChunkedEncodingByDefault = false;
+    if (!this.faults.omitsType) {
+      response.setHeader("content-type", "text/event-stream");
+    }
+    response.writeHead(OK).flushHeaders();
     for (let event = lastReceivedEvent + 1; event <= this.events; event++) {
       if (event > this.faults.closesAfter) {
-        response.write(`id: ${event}\ndata: cut`);
+        if (!this.faults.closesBetweenEvents) {
+          response.write(`id: ${event}\ndata: cut`);
+        }
+        // Without a delay, the head could be discarded with the connection.
+        await sleep(this.faults.eventIntervalMilliseconds);
         return void response.destroy();
       }
       const data = describeEvent(prompt, event);
