A stream that its connection ends before any event is broken off

Callers saw 200, the engine's stamp and a complete chunked answer without an event; the turn was kept with an empty output.

Cause: an answer without length and chunks is complete when its connection ends, and a crash ends it in the same way. The gateway asked only whether an event was incomplete, which none is after the head alone. It had also sent the head to the caller by then, so that the failure could be told by a closed connection only.

findTruncation in answer_framing.ts decides for all streams, from the framing and how far the stream has come. The head is held until the first event: such a stream is answered 502 (it may have run), or goes elsewhere where the route can be resumed. A broken-off stream counts as a failure of its upstream, as one cut by a reset already did.

Streams with a length or a last chunk and no event stay complete, since the upstream says so.

--- a/packages/gateway/src/calls/event_relay.ts
+++ b/packages/gateway/src/calls/event_relay.ts
@@ -9,6 +9,7 @@
   readEventId,
 } from "../http/event_splitter.ts";
 import { dropHopHeaders } from "../http/headers.ts";
+import type { StreamProgress } from "../upstreams/answer_framing.ts";
 import type { OpenCall } from "./open_call.ts";
 import type { EventSink } from "./run_attempt.ts";
 import type { TurnObserver } from "./turn_observer.ts";
@@ -23,7 +24,11 @@
   readonly #observer: TurnObserver | undefined;
   readonly #splitter = new EventSplitter();
   readonly #data: Buffer[] = [];
+  /** Head of an answer whose first event has not arrived yet. */
+  #waitingHead: AnswerHead | undefined;
   #eventCount = 0;
+  /** True if the stream of the current attempt has had an event with data. */
+  #hasEvents = false;
   #lastId = "";
 
   constructor(call: OpenCall, observer?: TurnObserver) {
@@ -54,11 +59,14 @@
     return Buffer.concat(this.#data);
   }
 
-  /** Starts the caller's answer, unless an earlier attempt has started it. */
+  /**
+   * Starts the stream of an attempt. Its head is held until the first event, so
+   * that a stream that ends before it can still be answered with a failure.
+   */
   start(head: AnswerHead): void {
     this.#splitter.clear();
-    if (this.#call.hasStartedAnswer) return;
-    this.#call.startAnswer(head.status, dropHopHeaders(head.headers));
+    this.#hasEvents = false;
+    this.#waitingHead = head;
   }
 
   /** Sends all complete events; false if an event is too long. */
@@ -66,12 +74,13 @@
     const { keepsHistory } = this.#call.parts.route;
     const events: Buffer[] = [];
     for (const event of this.#splitter.push(bytes)) {
+      const data = readEventData(event);
+      if (data.length > 0) this.#hasEvents = true;
       const id = readEventId(event);
       if (id !== undefined) {
         if (this.#isDuplicate(id)) continue;
         this.#lastId = id;
       }
-      const data = readEventData(event);
       if (keepsHistory) this.#data.push(Buffer.from(data));
       if (data.length > 0) {
         this.#eventCount++;
@@ -79,13 +88,30 @@
       }
       events.push(event);
     }
+    if (events.length > 0) this.#sendHead();
     this.#call.sendEvents(events);
     return !this.#splitter.isTooLong;
   }
 
-  /** True if no event is incomplete. */
-  isAtEventEnd(): boolean {
-    return this.#splitter.isEmpty;
+  /** How far the stream of the current attempt has come. */
+  get progress(): StreamProgress {
+    return {
+      hasEvents: this.#hasEvents,
+      isAtEventEnd: this.#splitter.isEmpty,
+    };
+  }
+
+  /** Sends the head of a stream that is complete without any event. */
+  complete(): void {
+    this.#sendHead();
+  }
+
+  /** Starts the caller's answer, unless an earlier attempt has started it. */
+  #sendHead(): void {
+    const head = this.#waitingHead;
+    this.#waitingHead = undefined;
+    if (head === undefined || this.#call.hasStartedAnswer) return;
+    this.#call.startAnswer(head.status, dropHopHeaders(head.headers));
   }
 
   /** True if the event was already sent: event ids increase within a stream. */
--- a/packages/gateway/src/calls/run_attempt.ts
+++ b/packages/gateway/src/calls/run_attempt.ts
@@ -11,9 +11,11 @@
 } from "@mallowlift/core";
 import type { AnswerHead, CallerDialect } from "../dialect.ts";
 import { findHeader } from "../http/headers.ts";
-import type {
-  AnswerFraming,
-  ReceivedAnswer,
+import {
+  type AnswerFraming,
+  findTruncation,
+  type ReceivedAnswer,
+  type StreamProgress,
 } from "../upstreams/answer_framing.ts";
 import type { ConnectionLimits, Upstream } from "../upstreams/upstream.ts";
 import type {
@@ -73,8 +75,10 @@
   start(head: AnswerHead): void;
   /** Returns false if the bytes are not a valid event stream. */
   push(bytes: Buffer): boolean;
-  /** True if no event is incomplete. */
-  isAtEventEnd(): boolean;
+  /** How far the stream of this attempt has come. */
+  readonly progress: StreamProgress;
+  /** Called when the stream is complete. */
+  complete(): void;
   /** Id of the last event that was sent to the caller; empty if there is none. */
   readonly lastId: string;
   /** True if another upstream can resume the stream after the last sent event. */
@@ -274,9 +278,14 @@
     if (this.#notRun !== undefined) {
       return this.#settle({ kind: "not_run", error: this.#notRun });
     }
-    const isTruncated = this.#isStream &&
-      this.#options.events?.isAtEventEnd() === false;
-    if (isTruncated) return this.#abandon(RESULT_CODES.ANSWER_SPOILED);
+    const { events } = this.#options;
+    if (this.#isStream && this.#framing !== undefined && events !== undefined) {
+      const truncation = findTruncation(this.#framing, events.progress);
+      if (truncation !== undefined) {
+        return this.onFailure(RESULT_CODES.ANSWER_SPOILED, truncation);
+      }
+      events.complete();
+    }
     if (!this.#isStream && !this.#isForwarding) this.#recordResult(head);
     this.#settle({
       kind: "whole",
--- a/packages/gateway/src/upstreams/answer_framing.ts
+++ b/packages/gateway/src/upstreams/answer_framing.ts
@@ -29,6 +29,36 @@
   readonly bytes: number;
 }
 
+/** How far a stream of events has come. */
+export interface StreamProgress {
+  /** True if the stream has had an event with data. */
+  readonly hasEvents: boolean;
+  /** True if no event is incomplete. */
+  readonly isAtEventEnd: boolean;
+}
+
+/**
+ * Returns why a stream whose framing is complete has been broken off; undefined
+ * if it is complete. A crash ends a connection in the same way as an upstream
+ * that marks the end of its stream by it, and may come before the first event.
+ *
+ * @example
+ * ```ts
+ * const progress = { hasEvents: false, isAtEventEnd: true };
+ * findTruncation("last_chunk", progress); // undefined
+ * findTruncation("connection_end", progress); // "The connection ended before ..."
+ * ```
+ */
+export function findTruncation(
+  framing: AnswerFraming,
+  progress: StreamProgress,
+): string | undefined {
+  if (!progress.isAtEventEnd) return "The stream ended inside an event";
+  if (framing !== ANSWER_FRAMINGS.CONNECTION_END) return undefined;
+  if (progress.hasEvents) return undefined;
+  return "The connection ended before the first event";
+}
+
 /**
  * Returns what marks the end of an answer; the head must have valid framing.
  *
--- a/packages/gateway/src/upstreams/answer_framing_test.ts
+++ b/packages/gateway/src/upstreams/answer_framing_test.ts
@@ -1,5 +1,9 @@
 import { test } from "tap";
-import { ANSWER_FRAMINGS, findFraming } from "./answer_framing.ts";
+import {
+  ANSWER_FRAMINGS,
+  findFraming,
+  findTruncation,
+} from "./answer_framing.ts";
 
 test("the framing of an answer follows from its request and its head", (t) => {
   const find = (headers: readonly string[], method = "GET") =>
@@ -13,3 +17,17 @@
   t.equal(find(["Content-Length", "9"], "HEAD"), ANSWER_FRAMINGS.NO_BODY);
   t.end();
 });
+
+// Guards against a crash that is taken for the end of a stream.
+test("an empty stream is complete only if its framing says so", (t) => {
+  const empty = { hasEvents: false, isAtEventEnd: true };
+  const partial = { hasEvents: true, isAtEventEnd: false };
+  const whole = { hasEvents: true, isAtEventEnd: true };
+  for (const framing of Object.values(ANSWER_FRAMINGS)) {
+    const mayBeEmpty = framing !== ANSWER_FRAMINGS.CONNECTION_END;
+    t.equal(findTruncation(framing, empty) === undefined, mayBeEmpty, framing);
+    t.type(findTruncation(framing, partial), "string", framing);
+    t.equal(findTruncation(framing, whole), undefined, framing);
+  }
+  t.end();
+});
