An answer without a type on a route that streams is a stream

Callers of a stream route got 200 with the Content-Length of whatever an upstream had sent before it crashed, if its answer had no Content-Type, length or chunks: framed as complete, and cut anywhere.

Cause: only text/event-stream counted as a stream; any other 200 was buffered and framed anew. Now a missing type on such a route means a stream, relayed event by event and judged as one. An answer that names another type is still relayed as a plain answer.

--- a/packages/gateway/src/calls/run_attempt.ts
+++ b/packages/gateway/src/calls/run_attempt.ts
@@ -45,6 +45,7 @@
  * requests.
  */
 const UNRESPONSIVE_MILLISECONDS = 500;
+const EVENT_STREAM_TYPE = "text/event-stream";
 const UNREAD_REQUESTS_MESSAGE =
   "Too many bytes wait until the upstream reads them";
 /** Status for a request whose remaining time was too short for the upstream. */
@@ -241,9 +242,10 @@
     this.#head = head;
     this.#framing = framing;
     this.#stopSilenceTimer();
-    const type = findHeader(head.headers, "content-type") ?? "";
+    // On a route that streams, an answer that names no type is a stream.
+    const type = findHeader(head.headers, "content-type") ?? EVENT_STREAM_TYPE;
     this.#isStream = events !== undefined && head.status === 200 &&
-      this.#notRun === undefined && type.startsWith("text/event-stream");
+      this.#notRun === undefined && type.startsWith(EVENT_STREAM_TYPE);
     if (this.#isStream) {
       this.#recordLatency();
       this.#startSilenceTimer(this.#options.streamSilentMilliseconds);
