An answer that is broken off ends with a reset where only that tells

A caller of HTTP/1.0 took each broken-off stream for complete, and each large answer without a length.

Cause: the gateway broke an answer off by closing the caller's connection in order. Callers of HTTP/1.1 miss the last chunk or a part of the length; to one of HTTP/1.0 the end of the connection is the end of the answer. endSlow reset it for that reason already; disconnect did not, nor did a stop whose time had passed, which closed the connections of its open calls itself.

OpenCall knows from the head that it sent whether a length or chunks frame the answer, and resets where neither does. A stop disconnects its open calls first. A reset discards what the caller has not read yet, so framed answers keep the orderly end: their events stay readable and resumable.

--- a/packages/bench/src/gateways/gateway_site.ts
+++ b/packages/bench/src/gateways/gateway_site.ts
@@ -54,6 +54,8 @@
   readonly nodeOptions?: readonly string[];
   /** Additional keys of the gateways' settings. */
   readonly gatewaySettings?: Readonly<Record<string, string | number>>;
+  /** Time that a daemon has to stop, ms; 20,000 by default. */
+  readonly stopMilliseconds?: number | undefined;
 }
 
 /** Gateways, and stores that read their instance list from a file. */
@@ -235,7 +237,7 @@
         roles: isGateway ? "gateway" : "store",
         failure_domain: findFailureDomain(number),
         health_listen: `127.0.0.1:${health}`,
-        stop_milliseconds: 20_000,
+        stop_milliseconds: this.#plan.stopMilliseconds ?? 20_000,
       },
       network: {
         listen: `127.0.0.1:${listen}`,
--- a/packages/bench/src/gateways/start_test_site.ts
+++ b/packages/bench/src/gateways/start_test_site.ts
@@ -24,6 +24,8 @@
   readonly preloadedByStores?: string;
   /** Additional keys of the gateways' settings. */
   readonly gatewaySettings?: Readonly<Record<string, string | number>>;
+  /** Time that a daemon has to stop, ms; 20,000 by default. */
+  readonly stopMilliseconds?: number;
   /** Initial routing document; {@linkcode TEST_DOCUMENT} by default. */
   readonly document?: RoutingDocument;
 }
@@ -53,7 +55,7 @@
 ): Promise<TestSite> {
   const { gateways = 1, stores = 3, waitMilliseconds, proxied } = plan;
   const { maxFrameBytes, gatewaySettings, document = TEST_DOCUMENT } = plan;
-  const { preloadedByStores } = plan;
+  const { preloadedByStores, stopMilliseconds } = plan;
   const upstreams = Array.from(
     { length: plan.upstreams ?? 1 },
     (_, index) => new OpaqueUpstream(`u-${index + 1}`),
@@ -78,6 +80,7 @@
       maxFrameBytes,
       gatewaySettings,
       preloadedByStores,
+      stopMilliseconds,
     },
     document,
   );
--- a/packages/bench/src/gateways/truncated_answers_test.ts
+++ b/packages/bench/src/gateways/truncated_answers_test.ts
@@ -1,3 +1,4 @@
+import { sleep } from "@mallowlift/core";
 import { describeOutput } from "@mallowlift/mocks";
 import { test } from "tap";
 import { callGateway } from "./gateway_caller.ts";
@@ -62,3 +63,22 @@
   t.match(cut.text, /^HTTP\/1.1 200 /);
   t.notOk(cut.whole);
 });
+
+// Guards against a gateway that closes the connections of its open calls in order
+// when its time to stop has passed.
+test("a stream that a stop cuts does not look complete to an HTTP/1.0 caller", async (t) => {
+  const running = await startTestSite(t, { stopMilliseconds: 500 });
+  const [upstream] = running.upstreams;
+  const [gateway] = running.site.gateways;
+  if (upstream === undefined || gateway === undefined) {
+    throw new Error("No site");
+  }
+  upstream.faults.eventIntervalMilliseconds = 60_000;
+  const path = "/resumable-stream/x";
+  const cut = callByOldHttp(running.url, { callId: "cut", path });
+  while (upstream.writtenEvents === 0) await sleep(10);
+  await gateway.process.stop();
+  const { text, whole } = await cut;
+  t.match(text, /id: 1\n/);
+  t.notOk(whole);
+});
--- a/packages/gateway/src/calls/open_call.ts
+++ b/packages/gateway/src/calls/open_call.ts
@@ -12,6 +12,7 @@
 } from "../dialect.ts";
 import type { ReceivedAnswer } from "../upstreams/answer_framing.ts";
 import type { Admission } from "../workspaces/key_admission.ts";
+import { findHeader } from "../http/headers.ts";
 import type { UnreadAnswer, UnreadAnswers } from "./unread_answers.ts";
 
 /**
@@ -87,6 +88,8 @@
   #isHeld = false;
   /** Bytes of a complete answer that are not written to the response yet. */
   #unwrittenBytes = 0;
+  /** True if the caller sees by a length or chunks where its answer ends. */
+  #hasFramedAnswer = true;
   /** Writes since the response had nothing unsent; some may be sent already. */
   #waitingWrites = 0;
   readonly #handleWritten = () => this.#updateUnread();
@@ -241,6 +244,8 @@
     if (response.destroyed) return;
     response.writeHead(status, [...headers]);
     response.flushHeaders();
+    this.#hasFramedAnswer = response.chunkedEncoding ||
+      findHeader(headers, "content-length") !== undefined;
   }
 
   /** Sends events in one write. */
@@ -256,19 +261,27 @@
     this.parts.response.end();
   }
 
-  /** Destroys the connection, so that a partial answer does not look complete. */
+  /**
+   * Closes the connection before the answer is complete. Without a length or
+   * chunks, only a reset tells the caller that the answer is partial.
+   */
   disconnect(): void {
+    if (!this.#hasFramedAnswer) return this.#reset();
     this.parts.response.destroy();
   }
 
   /**
-   * Resets the connection of a slow caller. A reset also frees the bytes that
-   * the operating system keeps for the caller, and an answer that only the end
-   * of the connection would complete does not look complete.
+   * Resets the connection of a slow caller, which also frees the bytes that the
+   * operating system keeps for it.
    */
   endSlow(): void {
-    this.parts.response.socket?.resetAndDestroy();
-    this.disconnect();
+    this.#reset();
+  }
+
+  #reset(): void {
+    const { response } = this.parts;
+    response.socket?.resetAndDestroy();
+    response.destroy();
   }
 
   #updateUnread(): void {
--- a/packages/gateway/src/http/caller_server.ts
+++ b/packages/gateway/src/http/caller_server.ts
@@ -91,6 +91,7 @@
   readonly #options: CallerServerOptions;
   readonly #server: Server;
   readonly #failures: WorkspaceFailures;
+  readonly #openCalls = new Set<OpenCall>();
   #openRequests = 0;
   #isStopping = false;
 
@@ -152,6 +153,7 @@
     }
     // Nothing is awaited since the last check, so no open request is aborted here
     // before the maximum time.
+    for (const call of this.#openCalls) call.disconnect();
     this.#server.closeAllConnections();
   }
 
@@ -167,6 +169,7 @@
     if (this.#isStopping) response.setHeader("Connection", "close");
     const call = await this.#openCall({ request, response, arrivedAt });
     if (call.err) return this.#refuse(request, response, call.val);
+    this.#openCalls.add(call.val);
     try {
       await this.#options.run(call.val);
     } catch (thrown) {
@@ -174,6 +177,7 @@
       this.#options.logger.error("Call failed", { message });
       call.val.disconnect();
     }
+    this.#openCalls.delete(call.val);
     call.val.close();
     this.#recordEnd(call.val);
   }
