--- a/packages/gateway/src/upstreams/answer_framing.ts
+++ b/packages/gateway/src/upstreams/answer_framing.ts
@@ -6,6 +6,8 @@
 import type { AnswerHead } from "../dialect.ts";
 import { findHeader } from "../http/headers.ts";
 
+const STATUSES_WITHOUT_BODY: ReadonlySet<number> = new Set([204, 304]);
+
 /** What marks the end of an answer. */
 export const ANSWER_FRAMINGS = {
   /** The answer has no body, so its head is all of it. */
@@ -69,7 +71,8 @@
  * ```
  */
 export function findFraming(head: AnswerHead, method: string): AnswerFraming {
-  if (method === "HEAD") return ANSWER_FRAMINGS.NO_BODY;
+  const hasNoBody = method === "HEAD" || STATUSES_WITHOUT_BODY.has(head.status);
+  if (hasNoBody) return ANSWER_FRAMINGS.NO_BODY;
   if (findHeader(head.headers, "transfer-encoding") !== undefined) {
     return ANSWER_FRAMINGS.LAST_CHUNK;
   }
--- a/packages/gateway/src/upstreams/answer_framing_test.ts
+++ b/packages/gateway/src/upstreams/answer_framing_test.ts
@@ -15,6 +15,8 @@
   );
   t.equal(find([]), ANSWER_FRAMINGS.CONNECTION_END);
   t.equal(find(["Content-Length", "9"], "HEAD"), ANSWER_FRAMINGS.NO_BODY);
+  const notModified = { status: 304, headers: ["Content-Length", "9"] };
+  t.equal(findFraming(notModified, "GET"), ANSWER_FRAMINGS.NO_BODY);
   t.end();
 });
 
--- a/packages/gateway/src/upstreams/upstream_connection_test.ts
+++ b/packages/gateway/src/upstreams/upstream_connection_test.ts
@@ -141,3 +141,23 @@
   t.teardown(() => reset.stop());
   t.equal((await sendRequest(await open(reset.address), "1")).how, "failed");
 });
+
+// Guards against a request that waits for the end of the connection after an answer
+// whose status allows no body, or that is lost to an interim answer.
+test("an answer without a body by its status is complete, and the connection is reused", async (t) => {
+  const server = await serveRaw([
+    (socket) => socket.write("HTTP/1.1 204 No Content\r\nx-id: 1\r\n\r\n"),
+    (socket) => socket.write("HTTP/1.1 304 Not Modified\r\nx-id: 2\r\n\r\n"),
+    (socket) =>
+      socket.write(
+        `HTTP/1.1 103 Early Hints\r\n\r\n${writeAnswer("3", "three")}`,
+      ),
+  ]);
+  t.teardown(() => server.stop());
+  const connection = await open(server.address);
+  t.teardown(() => connection.destroy());
+  t.same(await sendRequest(connection, "1"), { how: "whole", body: "" });
+  t.same(await sendRequest(connection, "2"), { how: "whole", body: "" });
+  t.same(await sendRequest(connection, "3"), { how: "whole", body: "three" });
+  t.ok(connection.isUsable);
+});
