A silent connection to an upstream closes the other idle ones

Callers saw one request a pooled connection fail: an idempotent one after a silence, any other at its deadline. The attempt closed its own connection only and left the others of the same age in the pool.

An attempt that ends in silence on a connection that had been idle before now closes the idle ones of that upstream; the next request opens a new connection. Not chosen: a probe of each idle connection before use, which costs every request a round trip. The request that finds the silence first is still lost.

Test: 'one silent connection is enough to replace the idle ones of its upstream': with the line taken out the second request is lost as well.

--- a/packages/gateway/src/calls/run_attempt.ts
+++ b/packages/gateway/src/calls/run_attempt.ts
@@ -342,7 +342,7 @@
   }
 
   #handleSilence(): void {
-    this.#options.upstream.health.recordFailure(performance.now());
+    this.#recordSilence(performance.now());
     this.#abandon(RESULT_CODES.TIMEOUT);
   }
 
@@ -351,10 +351,20 @@
     const now = performance.now();
     const isUnresponsive = this.#head === undefined &&
       now - this.#sentAt >= UNRESPONSIVE_MILLISECONDS;
-    if (isUnresponsive) this.#options.upstream.health.recordFailure(now);
+    if (isUnresponsive) this.#recordSilence(now);
     this.#abandon(RESULT_CODES.CALL_TIMEOUT);
   }
 
+  /**
+   * Records an upstream that has not answered. Connections may go silent without
+   * a reset; the idle ones of the upstream are then likely to be silent too.
+   */
+  #recordSilence(now: number): void {
+    const { upstream } = this.#options;
+    upstream.health.recordFailure(now);
+    if (this.#connection.isReused) upstream.closeIdle();
+  }
+
   #abandon(code: ResultCode): void {
     this.#connection.destroy();
     this.#settle({ kind: "lost", error: createError(code) });
--- a/packages/gateway/src/calls/run_attempt_test.ts
+++ b/packages/gateway/src/calls/run_attempt_test.ts
@@ -1,16 +1,58 @@
 import { Buffer } from "node:buffer";
-import { type AddressInfo, createServer, type Socket } from "node:net";
+import {
+  type AddressInfo,
+  createServer,
+  type Server,
+  type Socket,
+} from "node:net";
 import { RESULT_CODES } from "@mallowlift/core";
 import { test } from "tap";
 import { NativeCallerDialect } from "../native_dialect.ts";
 import { UnsentRequests } from "../upstreams/unsent_requests.ts";
 import { Upstream } from "../upstreams/upstream.ts";
-import { type AttemptResult, runAttempt } from "./run_attempt.ts";
+import {
+  type AttemptOptions,
+  type AttemptResult,
+  runAttempt,
+} from "./run_attempt.ts";
 
 const BODY = Buffer.alloc(16_777_216, "a");
 const LIMITS = { upstreamBytes: 2 * BODY.length, totalBytes: 1_000_000_000 };
 const ATTEMPTS = 10;
 
+function createUpstream(server: Server): Upstream {
+  const { port } = server.address() as AddressInfo;
+  return new Upstream({
+    id: "u",
+    service: "s",
+    address: `127.0.0.1:${port}`,
+    failureDomain: "hall-kawah",
+    slots: ATTEMPTS,
+    leaving: false,
+  });
+}
+
+function createOptions(upstream: Upstream): AttemptOptions {
+  return {
+    upstream,
+    request: { method: "GET", target: "/", headers: [], body: Buffer.alloc(0) },
+    callId: "c",
+    dialect: new NativeCallerDialect(),
+    limits: {
+      maxConnections: ATTEMPTS,
+      connectMilliseconds: 5_000,
+      idleMilliseconds: 5_000,
+    },
+    signal: new AbortController().signal,
+    silentMilliseconds: Infinity,
+    streamSilentMilliseconds: Infinity,
+    body: { start: () => undefined, push: () => undefined },
+    flow: { setSource: () => undefined },
+    unsent: new UnsentRequests(LIMITS),
+    findRefusal: () => undefined,
+  };
+}
+
 /**
  * An upstream that accepts connections and does not read: each request body
  * stayed in the gateway until the call's timeout.
@@ -27,36 +69,16 @@
     for (const socket of sockets) socket.destroy();
     server.close();
   });
-  const { port } = server.address() as AddressInfo;
-  const upstream = new Upstream({
-    id: "u",
-    service: "s",
-    address: `127.0.0.1:${port}`,
-    failureDomain: "hall-kawah",
-    slots: ATTEMPTS,
-    leaving: false,
-  });
+  const upstream = createUpstream(server);
   const unsent = new UnsentRequests(LIMITS);
   const controller = new AbortController();
   const results: AttemptResult[] = [];
   const attempts = Array.from({ length: ATTEMPTS }, async () => {
     const result = await runAttempt({
-      upstream,
+      ...createOptions(upstream),
       request: { method: "POST", target: "/", headers: [], body: BODY },
-      callId: "c",
-      dialect: new NativeCallerDialect(),
-      limits: {
-        maxConnections: ATTEMPTS,
-        connectMilliseconds: 5_000,
-        idleMilliseconds: 5_000,
-      },
       signal: controller.signal,
-      silentMilliseconds: Infinity,
-      streamSilentMilliseconds: Infinity,
-      body: { start: () => undefined, push: () => undefined },
-      flow: { setSource: () => undefined },
       unsent,
-      findRefusal: () => undefined,
     });
     results.push(result);
     if (results.length === ATTEMPTS - 2) controller.abort();
@@ -69,3 +91,34 @@
   t.equal(results.filter(({ kind }) => kind === "lost").length, 2);
   t.equal(unsent.totalBytes, 0, "an abandoned request does not count");
 });
+
+// Guards against idle connections to an upstream that have gone silent without a
+// reset and fail one request each, while new connections work.
+test("one silent connection is enough to replace the idle ones of its upstream", async (t) => {
+  const answer =
+    "HTTP/1.1 200 OK\r\nx-call-id: c\r\nKeep-Alive: timeout=60\r\nContent-Length: 0\r\n\r\n";
+  const sockets: Socket[] = [];
+  const silent = new Set<Socket>();
+  const server = createServer((socket) => {
+    sockets.push(socket.on("error", () => socket.destroy()));
+    socket.on("data", () => {
+      if (!silent.has(socket)) socket.write(answer);
+    });
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, "127.0.0.1", () => resolve());
+  });
+  t.teardown(() => {
+    for (const socket of sockets) socket.destroy();
+    server.close();
+  });
+  const options = {
+    ...createOptions(createUpstream(server)),
+    silentMilliseconds: 200,
+  };
+  const run = async () => (await runAttempt(options)).kind;
+  t.same(await Promise.all([run(), run(), run()]), ["whole", "whole", "whole"]);
+  for (const socket of sockets) silent.add(socket);
+  t.equal(await run(), "lost");
+  t.equal(await run(), "whole");
+});
--- a/packages/gateway/src/upstreams/upstream.ts
+++ b/packages/gateway/src/upstreams/upstream.ts
@@ -129,6 +129,7 @@
       : idleTimeout - IDLE_MARGIN_MILLISECONDS;
     const expiresAt = now + Math.min(idleMilliseconds, limits.idleMilliseconds);
     if (expiresAt <= now) return connection.destroy();
+    connection.isReused = true;
     this.#idle.push({ connection, expiresAt });
   }
 
--- a/packages/gateway/src/upstreams/upstream_connection.ts
+++ b/packages/gateway/src/upstreams/upstream_connection.ts
@@ -69,6 +69,8 @@
   onClosed: () => void = () => undefined;
   /** Called when the connection is idle after a complete answer. */
   onIdle: () => void = () => undefined;
+  /** True if the connection has been idle in a pool. */
+  isReused = false;
   /**
    * Idle timeout that the upstream announces, ms; undefined if it announces
    * none.
