A server pings a client that has been idle, and closes a silent connection

The server's end of a connection between daemons that its client had given up as silent stayed open for good, a descriptor each: a server sends nothing of its own, so it never learns that the other end is gone.

After 30 s without traffic a server pings its client; the check that exists for calls closes the connection 4 s later if nothing comes back. An idle client answers and is kept.

FaultProxy tells how many connections it has.

--- a/packages/mocks/src/proxy/fault_proxy.ts
+++ b/packages/mocks/src/proxy/fault_proxy.ts
@@ -117,6 +117,11 @@
     for (const pair of this.#pairs) pair.isSilent = true;
   }
 
+  /** Number of connections that are open now. */
+  get openConnections(): number {
+    return this.#pairs.size;
+  }
+
   /** Ends all faults, and closes all connections if bytes may have been lost. */
   heal(): void {
     const mayHaveLostBytes = this.faults.dropToClient ||
--- a/packages/transport/src/connection.ts
+++ b/packages/transport/src/connection.ts
@@ -230,6 +230,12 @@
     this.#options.onSilence?.(this.#silentSince);
   }
 
+  /** Pings the peer; the connection closes if it stays silent. */
+  probe(now: number): void {
+    this.#send({ type: "ping", id: PING_REQUEST });
+    this.#expectData(now);
+  }
+
   /** True if the connection is open and the peer has been silent ever since a time. */
   isSilentSince(silentSince: number): boolean {
     return this.#open && this.#silentSince === silentSince;
--- a/packages/transport/src/peer_server.ts
+++ b/packages/transport/src/peer_server.ts
@@ -2,6 +2,7 @@
 
 import type { Buffer } from "node:buffer";
 import { createServer, type Server, type Socket } from "node:net";
+import { performance } from "node:perf_hooks";
 import {
   createDeferred,
   type Logger,
@@ -23,6 +24,12 @@
   readNonce,
 } from "./handshake.ts";
 
+/**
+ * Time without traffic after which a client is pinged, ms. A server sends nothing
+ * else of its own, and would keep a connection that has gone silent for good.
+ */
+const IDLE_PROBE_MILLISECONDS = 30_000;
+
 /** Options of a server. */
 export interface PeerServerOptions {
   readonly listen: string;
@@ -30,6 +37,8 @@
   readonly maxFrameBytes: number;
   /** Timeout of the handshake of one connection, ms. */
   readonly handshakeMilliseconds: number;
+  /** Time without traffic after which a client is pinged, ms. */
+  readonly idleProbeMilliseconds?: number;
   readonly handlers: HandlerTable;
   readonly logger: Logger;
   readonly metrics: Metrics;
@@ -98,6 +107,11 @@
       onMalformed: (code) => this.#reportMalformed(code),
       metrics: this.#options.metrics,
     });
+    const { idleProbeMilliseconds = IDLE_PROBE_MILLISECONDS } = this.#options;
+    socket.setTimeout(
+      idleProbeMilliseconds,
+      () => connection.probe(performance.now()),
+    );
     connection.handleEarlyMessages(messages.takeRemaining());
   }
 
