An HTTP/1.0 caller that still reads at a stop is reset; attempts and own answers in files of their own

A complete answer that its caller has not read to its end belongs to none any more, and was closed in order by closeAllConnections: the call now counts as open until its response closes. No test of its own.

--- a/packages/bench/src/gateways/old_http_caller.ts
+++ b/packages/bench/src/gateways/http10_caller.ts
@@ -4,7 +4,7 @@
 import { connect } from "node:net";
 
 /** What a caller of HTTP/1.0 sees of an answer. */
-export interface OldHttpResult {
+export interface Http10Result {
   /** The answer as it arrived, with its head. */
   readonly text: string;
   /** True if the connection ended in order, which completes the answer. */
@@ -12,10 +12,10 @@
 }
 
 /** Makes one request on a new connection; never rejects, also if it fails. */
-export function callByOldHttp(
+export function callByHttp10(
   url: string,
   call: { readonly callId: string; readonly path: string },
-): Promise<OldHttpResult> {
+): Promise<Http10Result> {
   const { hostname, port } = new URL(url);
   return new Promise((resolve) => {
     let text = "";
--- a/packages/bench/src/gateways/truncated_answers_test.ts
+++ b/packages/bench/src/gateways/truncated_answers_test.ts
@@ -2,7 +2,7 @@
 import { describeOutput } from "@mallowlift/mocks";
 import { test } from "tap";
 import { callGateway } from "./gateway_caller.ts";
-import { callByOldHttp } from "./old_http_caller.ts";
+import { callByHttp10 } from "./http10_caller.ts";
 import { startTestSite } from "./start_test_site.ts";
 import { callTurn, countRuns, findPrompt } from "./turn_caller.ts";
 
@@ -55,11 +55,11 @@
   const [upstream] = upstreams;
   if (upstream === undefined) throw new Error("No upstream");
   const path = "/resumable-stream/x";
-  const whole = await callByOldHttp(url, { callId: "whole", path });
+  const whole = await callByHttp10(url, { callId: "whole", path });
   t.ok(whole.whole);
   t.match(whole.text, /id: 3\n.*\n\n$/);
   upstream.faults.closesAfter = 2;
-  const cut = await callByOldHttp(url, { callId: "cut", path });
+  const cut = await callByHttp10(url, { callId: "cut", path });
   t.match(cut.text, /^HTTP\/1.1 200 /);
   t.notOk(cut.whole);
 });
@@ -75,7 +75,7 @@
   }
   upstream.faults.eventIntervalMilliseconds = 60_000;
   const path = "/resumable-stream/x";
-  const cut = callByOldHttp(running.url, { callId: "cut", path });
+  const cut = callByHttp10(running.url, { callId: "cut", path });
   while (upstream.writtenEvents === 0) await sleep(10);
   await gateway.process.stop();
   const { text, whole } = await cut;
--- a/packages/gateway/src/calls/body_relay.ts
+++ b/packages/gateway/src/calls/body_relay.ts
@@ -4,7 +4,7 @@
 import type { AnswerHead } from "../dialect.ts";
 import { dropHopHeaders, findHeader } from "../http/headers.ts";
 import type { OpenCall } from "./open_call.ts";
-import type { BodySink } from "./run_attempt.ts";
+import type { BodySink } from "./attempt.ts";
 
 const DIGITS = /^\d+$/;
 
--- a/packages/gateway/src/calls/event_relay.ts
+++ b/packages/gateway/src/calls/event_relay.ts
@@ -11,7 +11,7 @@
 import { dropHopHeaders } from "../http/headers.ts";
 import type { StreamProgress } from "../upstreams/answer_framing.ts";
 import type { OpenCall } from "./open_call.ts";
-import type { EventSink } from "./run_attempt.ts";
+import type { EventSink } from "./attempt.ts";
 import type { TurnObserver } from "./turn_observer.ts";
 
 /**
--- a/packages/gateway/src/calls/open_call.ts
+++ b/packages/gateway/src/calls/open_call.ts
@@ -13,6 +13,7 @@
 import type { ReceivedAnswer } from "../upstreams/answer_framing.ts";
 import type { Admission } from "../workspaces/key_admission.ts";
 import { findHeader } from "../http/headers.ts";
+import { writeGatewayAnswer } from "../http/write_gateway_answer.ts";
 import type { UnreadAnswer, UnreadAnswers } from "./unread_answers.ts";
 
 /**
@@ -301,18 +302,3 @@
     });
   }
 }
-
-/** Writes an answer that the gateway generated itself. */
-export function writeGatewayAnswer(
-  response: ServerResponse,
-  answer: GatewayAnswer,
-): void {
-  if (response.destroyed || response.headersSent) return;
-  const length = String(Buffer.byteLength(answer.body));
-  response.writeHead(answer.status, [
-    ...answer.headers,
-    "Content-Length",
-    length,
-  ]);
-  response.end(answer.body);
-}
--- a/packages/gateway/src/calls/run_attempt.ts
+++ b/packages/gateway/src/calls/run_attempt.ts
@@ -9,25 +9,20 @@
   RESULT_CODES,
   type ResultCode,
 } from "@mallowlift/core";
-import type { AnswerHead, CallerDialect } from "../dialect.ts";
+import type { AnswerHead } from "../dialect.ts";
 import { findHeader } from "../http/headers.ts";
 import {
   type AnswerFraming,
   findTruncation,
-  type ReceivedAnswer,
-  type StreamProgress,
 } from "../upstreams/answer_framing.ts";
-import type { ConnectionLimits, Upstream } from "../upstreams/upstream.ts";
-import type {
-  UnsentRequest,
-  UnsentRequests,
-} from "../upstreams/unsent_requests.ts";
+import type { UnsentRequest } from "../upstreams/unsent_requests.ts";
+import type { Upstream } from "../upstreams/upstream.ts";
+import type { AttemptEnd, AttemptOptions, AttemptResult } from "./attempt.ts";
 import { classifyAnswer, isServerError } from "./classify_answer.ts";
 import type { AnswerSource } from "./open_call.ts";
 import type {
   AnswerListener,
   AnswerMatch,
-  OutgoingRequest,
   UpstreamConnection,
 } from "../upstreams/upstream_connection.ts";
 
@@ -51,76 +46,6 @@
 /** Status for a request whose remaining time was too short for the upstream. */
 const GATEWAY_TIMEOUT_STATUS = 504;
 
-/**
- * How an attempt ended: with a complete answer, certainly not run, or lost, so
- * that it may have run.
- */
-export type AttemptResult = AttemptEnd & {
-  /** Undefined if no head of an answer to the request arrived. */
-  readonly received?: ReceivedAnswer | undefined;
-};
-
-type AttemptEnd =
-  | {
-    readonly kind: "whole";
-    readonly head: AnswerHead;
-    /** Empty if the answer was streamed to the caller. */
-    readonly body: Buffer;
-    readonly streamed: boolean;
-  }
-  | { readonly kind: "not_run"; readonly error: CodedError }
-  | { readonly kind: "lost"; readonly error: CodedError };
-
-/** Receives the events of a stream as they arrive. */
-export interface EventSink {
-  start(head: AnswerHead): void;
-  /** Returns false if the bytes are not a valid event stream. */
-  push(bytes: Buffer): boolean;
-  /** How far the stream of this attempt has come. */
-  readonly progress: StreamProgress;
-  /** Called when the stream is complete. */
-  complete(): void;
-  /** Id of the last event that was sent to the caller; empty if there is none. */
-  readonly lastId: string;
-  /** True if another upstream can resume the stream after the last sent event. */
-  readonly canResume: boolean;
-}
-
-/** Receives a large answer as it arrives. */
-export interface BodySink {
-  start(head: AnswerHead): void;
-  push(bytes: Buffer): void;
-}
-
-/** Holds and resumes the reading of an answer, as its caller reads. */
-export interface FlowControl {
-  /** Sets what is read now; undefined once the answer has ended. */
-  setSource(source: AnswerSource | undefined): void;
-}
-
-/** The upstream, the request and the limits of an attempt. */
-export interface AttemptOptions {
-  readonly upstream: Upstream;
-  readonly request: OutgoingRequest;
-  readonly callId: string;
-  readonly dialect: CallerDialect;
-  readonly limits: ConnectionLimits;
-  /** Aborts when the call times out or its caller disconnects. */
-  readonly signal: AbortSignal;
-  /** Wait for the head of an answer after which the attempt is abandoned, ms. */
-  readonly silentMilliseconds: number;
-  /** Pause within a stream after which the attempt is abandoned, ms. */
-  readonly streamSilentMilliseconds: number;
-  /** Missing if the route does not stream events. */
-  readonly events?: EventSink;
-  readonly body: BodySink;
-  readonly flow: FlowControl;
-  /** Request bytes that wait for upstreams. */
-  readonly unsent: UnsentRequests;
-  /** Why the request may not be written now; undefined if it may. */
-  readonly findRefusal: (now: number) => CodedError | undefined;
-}
-
 /** Runs one attempt until it has a result. */
 export async function runAttempt(
   options: AttemptOptions,
--- a/packages/gateway/src/calls/run_attempt_test.ts
+++ b/packages/gateway/src/calls/run_attempt_test.ts
@@ -10,11 +10,8 @@
 import { NativeCallerDialect } from "../native_dialect.ts";
 import { UnsentRequests } from "../upstreams/unsent_requests.ts";
 import { Upstream } from "../upstreams/upstream.ts";
-import {
-  type AttemptOptions,
-  type AttemptResult,
-  runAttempt,
-} from "./run_attempt.ts";
+import type { AttemptOptions, AttemptResult } from "./attempt.ts";
+import { runAttempt } from "./run_attempt.ts";
 
 const BODY = Buffer.alloc(16_777_216, "a");
 const LIMITS = { upstreamBytes: 2 * BODY.length, totalBytes: 1_000_000_000 };
--- a/packages/gateway/src/calls/run_call_attempt.ts
+++ b/packages/gateway/src/calls/run_call_attempt.ts
@@ -11,11 +11,8 @@
 import type { OpenCall } from "./open_call.ts";
 import { type Rank, RANKS } from "./program_urgency.ts";
 import type { TurnObserver } from "./turn_observer.ts";
-import {
-  type AttemptResult,
-  type EventSink,
-  runAttempt,
-} from "./run_attempt.ts";
+import type { AttemptResult, EventSink } from "./attempt.ts";
+import { runAttempt } from "./run_attempt.ts";
 
 /**
  * Shares of an upstream's connections, each as large as a gateway's, that are
--- a/packages/gateway/src/calls/send_call.ts
+++ b/packages/gateway/src/calls/send_call.ts
@@ -13,7 +13,7 @@
 import type { CallDependencies, CallFailure } from "./call_dependencies.ts";
 import { isServerError } from "./classify_answer.ts";
 import type { OpenCall } from "./open_call.ts";
-import type { AttemptResult } from "./run_attempt.ts";
+import type { AttemptResult } from "./attempt.ts";
 import { runCallAttempt, type SendOptions } from "./run_call_attempt.ts";
 
 /** Delay before a retry when no upstream can be chosen, ms. */
--- a/packages/gateway/src/http/caller_server.ts
+++ b/packages/gateway/src/http/caller_server.ts
@@ -26,7 +26,7 @@
 } from "@mallowlift/core";
 import { parseAddress } from "@mallowlift/transport";
 import { Ok } from "ts-results";
-import { OpenCall, writeGatewayAnswer } from "../calls/open_call.ts";
+import { OpenCall } from "../calls/open_call.ts";
 import type { UnreadAnswers } from "../calls/unread_answers.ts";
 import type { CallerDialect } from "../dialect.ts";
 import { chooseService, type RouteTable } from "../routing/route_table.ts";
@@ -38,6 +38,7 @@
 } from "../workspaces/key_admission.ts";
 import { WorkspaceFailures } from "../workspaces/workspace_failures.ts";
 import { readBody } from "./read_body.ts";
+import { writeGatewayAnswer } from "./write_gateway_answer.ts";
 
 /**
  * Largest head of a request, bytes; the limit of the routing document is
@@ -169,7 +170,11 @@
     if (this.#isStopping) response.setHeader("Connection", "close");
     const call = await this.#openCall({ request, response, arrivedAt });
     if (call.err) return this.#refuse(request, response, call.val);
-    this.#openCalls.add(call.val);
+    // A complete answer may still have to be sent when its call has ended.
+    if (!response.closed) {
+      this.#openCalls.add(call.val);
+      response.once("close", () => this.#openCalls.delete(call.val));
+    }
     try {
       await this.#options.run(call.val);
     } catch (thrown) {
@@ -177,7 +182,6 @@
       this.#options.logger.error("Call failed", { message });
       call.val.disconnect();
     }
-    this.#openCalls.delete(call.val);
     call.val.close();
     this.#recordEnd(call.val);
   }
