Test of idle connections between daemons: counts the connections of its proxy

Traced: the link connects again as soon as its server has closed the silent connection, and the test, which looked every 50 ms, could miss the moment with no connection open. Alone beside six busy processes it hung in one of four runs.

--- a/packages/mocks/src/proxy/fault_proxy.ts
+++ b/packages/mocks/src/proxy/fault_proxy.ts
@@ -52,6 +52,7 @@
   readonly #server: Server;
   readonly #pairs = new Set<ConnectionPair>();
   #bytesFromClients = 0;
+  #acceptedConnections = 0;
 
   /** Creates a proxy, which refuses all connections until it has a target. */
   constructor(target?: ProxyTarget) {
@@ -117,9 +118,9 @@
     for (const pair of this.#pairs) pair.isSilent = true;
   }
 
-  /** Number of connections that are open now. */
-  get openConnections(): number {
-    return this.#pairs.size;
+  /** Number of connections that were accepted since the start. */
+  get acceptedConnections(): number {
+    return this.#acceptedConnections;
   }
 
   /** Ends all faults, and closes all connections if bytes may have been lost. */
@@ -141,6 +142,7 @@
     const server = connect(this.#target);
     const pair: ConnectionPair = { client, server, isSilent: false };
     this.#pairs.add(pair);
+    this.#acceptedConnections++;
     const close = () => {
       this.#pairs.delete(pair);
       client.destroy();
