--- a/review/lib/site.cjs
+++ b/review/lib/site.cjs
@@ -112,14 +112,13 @@
   async prepare() {
     const block = 1 + Math.floor(Math.random() * 250);
     let number = 10;
-    const create = (role) => ({ name, zone }) => {
+    this.add = (role, { name, zone }) => {
       const ip = `127.77.${block}.${number++}`;
       const dataDir = path.join(this.folder, `${name}-data`);
       this.daemons.set(name, { name, zone, role, ip, dataDir, process: undefined });
     };
-    (this.plan.gateways ?? []).forEach(create("gateway"));
-    (this.plan.stores ?? []).forEach(create("store"));
-    (this.plan.spares ?? []).forEach(create("store"));
+    (this.plan.gateways ?? []).forEach((daemon) => this.add("gateway", daemon));
+    (this.plan.stores ?? []).forEach((daemon) => this.add("store", daemon));
     this.platformIp = `127.77.${block}.9`;
     this.serverIp = (index) => `127.77.${block}.${100 + index}`;
     const hosts = [this.platformIp, ...[...this.daemons.values()].map(({ ip }) => ip)];
@@ -247,10 +246,7 @@
 
   /** Starts the whole site, with empty disks, and puts a configuration in force. */
   async boot(configuration) {
-    const spares = new Set((this.plan.spares ?? []).map(({ name }) => name));
-    for (const { name } of this.daemons.values()) {
-      if (!spares.has(name)) this.start(name, true);
-    }
+    for (const { name } of this.daemons.values()) this.start(name, true);
     await this.configure(configuration);
     await this.waitUntilReady(this.list("gateway").map(({ name }) => name));
   }
