--- a/review/1/case.cjs
+++ b/review/1/case.cjs
@@ -134,8 +134,9 @@
   }
   await site.stop();
   lines.unshift(`TROUBLE=${TROUBLE ? 1 : 0}, exit ${code}`);
+  const summary = lines.filter((line) => !/^r[0-9a-f]+:|^  /.test(line));
   fs.writeFileSync(path.join(__dirname, "record.txt"), `${lines.join("\n")}\n`);
-  console.log(lines.slice(-200).join("\n"));
+  console.log(summary.join("\n"));
   process.exit(code);
 }
 
