--- a/review/1/case.cjs
+++ b/review/1/case.cjs
@@ -1,7 +1,7 @@
 "use strict";
 /**
  * Requests of an `unsafe` route are sent through eight gateways to a service
- * whose servers are just full. Servers garble (how: extra, late): some of their
+ * whose servers are just full in bursts. In these, servers garble (how: extra, late): some of their
  * answers come a second time, in the place of the answer that is due next on
  * the connection. The check is TWICE: no request may be run more than once.
  */
@@ -17,8 +17,9 @@
 const SERVERS = 5;
 const SLOTS = 6;
 const QUEUE = 4;
-/** A few more clients than the servers have places, each with one request at a time. */
-const CLIENTS = 58;
+/** Clients with one request at a time. In a burst of x 2 they are a few more than the servers have places. */
+const CLIENTS = 29;
+const BURST = { x: 2, forMs: 5000 };
 const SECONDS = 84;
 /** The disruption: its share of servers and of answers, its length and the pause between two. */
 const GARBLE = { share: 0.6, x: 0.03, forMs: 5000, gapMs: 5000 };
@@ -41,6 +42,7 @@
   const runs = new Map();
   const counts = { sent: 0, refusedByServers: 0, answeredByServers: 0, secondAnswers: 0 };
   let garbleUntil = 0;
+  let burstUntil = 0;
   const servers = [];
   for (let index = 0; index < SERVERS; index++) {
     const isGarbling = index < Math.floor(GARBLE.share * SERVERS);
@@ -87,8 +89,12 @@
   note(`the site runs: ${GATEWAYS} gateways, 3 stores, ${SERVERS} servers`);
   const until = Date.now() + SECONDS * 1000;
   const statuses = {};
-  const client = async (gateway) => {
+  const client = async (gateway, isOfBurst) => {
     while (Date.now() < until) {
+      if (isOfBurst && Date.now() > burstUntil) {
+        await sleep(20);
+        continue;
+      }
       const id = `r${(++counts.sent).toString(16).padStart(7, "0")}`;
       record(id, `sent to ${gateway}`);
       const answer = await request({
@@ -102,13 +108,16 @@
     }
   };
   const disrupt = async () => {
-    while (TROUBLE && Date.now() < until) {
+    while (Date.now() < until) {
+      burstUntil = Date.now() + BURST.forMs;
+      note(`burst: x ${BURST.x} for ${BURST.forMs} ms`);
       garbleUntil = Date.now() + GARBLE.forMs;
-      note(`garble: ${GARBLE.share} of the servers, ${GARBLE.x} of their answers, for ${GARBLE.forMs} ms`);
+      if (TROUBLE) note(`garble: ${GARBLE.share} of the servers, ${GARBLE.x} of their answers, for ${GARBLE.forMs} ms`);
       await sleep(GARBLE.forMs + GARBLE.gapMs);
     }
   };
-  const clients = Array.from({ length: CLIENTS }, (_, index) => client(`front-${index % GATEWAYS}`));
+  const clients = Array.from({ length: BURST.x * CLIENTS }, (_, index) =>
+    client(`front-${index % GATEWAYS}`, index >= CLIENTS));
   await Promise.all([...clients, disrupt()]);
   for (const server of servers) server.close();
   const doubled = [...runs].filter(([, count]) => count > 1).map(([id]) => id);
@@ -125,7 +134,13 @@
     gateways: Array.from({ length: GATEWAYS }, (_, index) => ({ name: `front-${index}`, zone: ZONES[index % 3] })),
     stores: ZONES.map((zone, index) => ({ name: `store-${index}`, zone })),
   });
-  process.once("SIGTERM", () => site.stop().finally(() => process.exit(2)));
+  const giveUp = (reason) => {
+    console.error(`the case could not run: ${reason}`);
+    void site.stop().finally(() => process.exit(2));
+  };
+  process.once("SIGTERM", () => giveUp("it took too long"));
+  process.once("uncaughtException", (thrown) => giveUp(thrown.message));
+  process.once("unhandledRejection", (thrown) => giveUp(String(thrown)));
   let code = 2;
   try {
     code = await run(site) > 0 ? 1 : 0;
--- a/review/lib/site.cjs
+++ b/review/lib/site.cjs
@@ -121,7 +121,8 @@
     (this.plan.stores ?? []).forEach((daemon) => this.add("store", daemon));
     this.platformIp = `127.77.${block}.9`;
     this.serverIp = (index) => `127.77.${block}.${100 + index}`;
-    const hosts = [this.platformIp, ...[...this.daemons.values()].map(({ ip }) => ip)];
+    const servers = Array.from({ length: 20 }, (_, index) => this.serverIp(index));
+    const hosts = [this.platformIp, ...servers, ...[...this.daemons.values()].map(({ ip }) => ip)];
     const [internal, front, ready, control, list, metrics] = await findPorts(hosts, 6);
     this.ports = { internal, front, ready, control, list, metrics };
     this.seeds = this.list("gateway").slice(0, 3).map(({ ip }) => `${ip}:${control}`);
