A late copy of a refusal does not answer the next send of a request

Cause: an answer was told apart by the id of its call only. A call that was refused is sent again under the same id, possibly over the connection of the refusal; a late copy of that refusal then counted as "not run" for the new send, and the call went on to another upstream while the first one ran it.

Change: a connection that has carried a call does not carry it again (a pooled one that has not is preferred to a new one), so what is left on it is never read by a later send. An answer whose id (the platform's stamp, x-answer-id in the native dialect) an earlier send of the call got is skipped, on any connection. A refusal without a call id on a connection that was used before is not assigned to any request.

Also found by reading for the class: a server error that was kept for the caller was returned after a later send had begun to stream its answer. The caller's stream was then neither ended nor broken off, and its tokens were settled as none. It is broken off now, and settled by what was sent; no test of its own yet.

--- a/packages/bench/src/gateways/gateway_site.ts
+++ b/packages/bench/src/gateways/gateway_site.ts
@@ -35,7 +35,7 @@
   readonly folder: string;
   readonly gateways: number;
   readonly stores: number;
-  readonly upstreams: readonly OpaqueUpstream[];
+  readonly upstreams: readonly Pick<OpaqueUpstream, "id" | "address">[];
   /** How long a request waits for a leader or a document, ms. */
   readonly waitMilliseconds?: number;
   /** True to put a fault proxy in front of each daemon and each upstream. */
--- a/packages/gateway/src/calls/attempt.ts
+++ b/packages/gateway/src/calls/attempt.ts
@@ -13,6 +13,7 @@
   LossCause,
   OutgoingRequest,
 } from "../upstreams/upstream_connection.ts";
+import type { EarlierSends } from "./earlier_sends.ts";
 import type { AnswerSource } from "./open_call.ts";
 
 /**
@@ -72,6 +73,8 @@
   readonly upstream: Upstream;
   readonly request: OutgoingRequest;
   readonly callId: string;
+  /** The other sends of the call so far. */
+  readonly earlier: EarlierSends;
   readonly dialect: CallerDialect;
   readonly limits: ConnectionLimits;
   /** Aborts when the call times out or its caller disconnects. */
--- a/packages/gateway/src/calls/classify_answer_test.ts
+++ b/packages/gateway/src/calls/classify_answer_test.ts
@@ -6,6 +6,7 @@
 function createFacts(more: Partial<AnswerFacts>): AnswerFacts {
   return {
     callId: "own",
+    answerId: undefined,
     notRun: false,
     isWrongInstance: false,
     isGenuine: true,
--- a/packages/gateway/src/calls/run_attempt.ts
+++ b/packages/gateway/src/calls/run_attempt.ts
@@ -56,7 +56,11 @@
   const { upstream, limits } = options;
   upstream.running++;
   try {
-    const opened = await upstream.acquire(limits, performance.now());
+    const opened = await upstream.acquire(
+      limits,
+      performance.now(),
+      options.earlier.connections,
+    );
     if (opened.err) return handleAcquireFailure(upstream, opened.val);
     const connection = opened.val;
     if (options.signal.aborted) {
@@ -153,6 +157,7 @@
     connection.onIdle = () =>
       upstream.release(connection, limits, performance.now());
     upstream.health.recordSent(this, this.#sentAt);
+    this.#options.earlier.recordSend(connection);
     connection.send(request, this);
     const result = await this.#done.promise;
     upstream.health.recordSettled(this);
@@ -161,9 +166,14 @@
   }
 
   onHead(head: AnswerHead, framing: AnswerFraming): AnswerMatch {
-    const { dialect, callId, events } = this.#options;
-    const classified = classifyAnswer(dialect.readAnswer(head), callId);
+    const { dialect, callId, earlier, events } = this.#options;
+    const facts = dialect.readAnswer(head);
+    const classified = classifyAnswer(facts, callId);
     if (classified.match !== "own") return classified.match;
+    // It may be left over from any earlier request of a connection.
+    const isUnnamed = facts.callId === undefined;
+    if (isUnnamed && this.#connection.isReused) return "spoiled";
+    if (!earlier.recordAnswer(facts.answerId)) return "other";
     this.#options.upstream.health.recordSettled(this);
     this.#recordKeepAlive(head);
     if (classified.notRun !== undefined) this.#recordNotRun(classified.notRun);
--- a/packages/gateway/src/calls/run_attempt_test.ts
+++ b/packages/gateway/src/calls/run_attempt_test.ts
@@ -11,6 +11,7 @@
 import { UnsentRequests } from "../upstreams/unsent_requests.ts";
 import { Upstream } from "../upstreams/upstream.ts";
 import type { AttemptOptions, AttemptResult } from "./attempt.ts";
+import { EarlierSends } from "./earlier_sends.ts";
 import { runAttempt } from "./run_attempt.ts";
 
 const BODY = Buffer.alloc(16_777_216, "a");
@@ -34,6 +35,7 @@
     upstream,
     request: { method: "GET", target: "/", headers: [], body: Buffer.alloc(0) },
     callId: "c",
+    earlier: new EarlierSends(),
     dialect: new NativeCallerDialect(),
     limits: {
       maxConnections: ATTEMPTS,
@@ -113,7 +115,9 @@
     ...createOptions(createUpstream(server)),
     silentMilliseconds: 200,
   };
-  const run = async () => (await runAttempt(options)).kind;
+  // Each request is a call of its own.
+  const run = async () =>
+    (await runAttempt({ ...options, earlier: new EarlierSends() })).kind;
   t.same(await Promise.all([run(), run(), run()]), ["whole", "whole", "whole"]);
   for (const socket of sockets) silent.add(socket);
   t.equal(await run(), "lost");
--- a/packages/gateway/src/calls/run_call_attempt.ts
+++ b/packages/gateway/src/calls/run_call_attempt.ts
@@ -8,6 +8,7 @@
 import { hasWorkspaces } from "../workspaces/scoped_id.ts";
 import { BodyRelay } from "./body_relay.ts";
 import type { CallDependencies } from "./call_dependencies.ts";
+import type { EarlierSends } from "./earlier_sends.ts";
 import type { OpenCall } from "./open_call.ts";
 import { type Rank, RANKS } from "./program_urgency.ts";
 import type { TurnObserver } from "./turn_observer.ts";
@@ -44,6 +45,7 @@
   details: {
     readonly parts: CallDependencies;
     readonly options: SendOptions;
+    readonly earlier: EarlierSends;
     readonly now: number;
     /** True if the call may not be retried after this attempt may have run. */
     readonly isLast: boolean;
@@ -58,6 +60,7 @@
   return await runAttempt({
     upstream,
     callId: facts.callId,
+    earlier: details.earlier,
     dialect: parts.dialect,
     limits: findLimits(call, parts),
     signal: call.signal,
--- a/packages/gateway/src/calls/run_turn.ts
+++ b/packages/gateway/src/calls/run_turn.ts
@@ -74,7 +74,7 @@
     return failCall(call, parts, result.failure);
   }
   if (!result.answer.streamed) {
-    settleTurn(call, parts, { events: 0, observer });
+    settleTurn(call, parts, { events: relay.count, observer });
     const { head, body } = result.answer;
     return call.answer(head.status, dropHopHeaders(head.headers), body);
   }
--- a/packages/gateway/src/calls/send_call.ts
+++ b/packages/gateway/src/calls/send_call.ts
@@ -13,6 +13,7 @@
 import type { Upstream } from "../upstreams/upstream.ts";
 import type { CallDependencies, CallFailure } from "./call_dependencies.ts";
 import { isServerError } from "./classify_answer.ts";
+import { EarlierSends } from "./earlier_sends.ts";
 import type { OpenCall } from "./open_call.ts";
 import type { AttemptResult } from "./attempt.ts";
 import { runCallAttempt, type SendOptions } from "./run_call_attempt.ts";
@@ -51,6 +52,7 @@
   const { route, arrivedAt } = call.parts;
   const mayRepeat = isRepeatable(route);
   const tried = new Set<string>();
+  const earlier = new EarlierSends();
   const offeredUntil = arrivedAt +
     OFFER_FRACTION * (call.deadlineAt - arrivedAt);
   let possibleRuns = 0;
@@ -96,6 +98,7 @@
         runCallAttempt(upstream, call, {
           parts,
           options,
+          earlier,
           // The send gate may have waited for the leader.
           now: performance.now(),
           isLast,
@@ -127,7 +130,8 @@
     if (call.hasStartedAnswer && !canResume(call, options)) break;
   }
   await parts.quarantine.waitUntilShared(call);
-  if (failedAnswer !== undefined && !call.hasCallerLeft) return failedAnswer;
+  const isDelivered = call.hasCallerLeft || call.hasStartedAnswer;
+  if (failedAnswer !== undefined && !isDelivered) return failedAnswer;
   if (call.signal.aborted) lastError = describeAbort(call, possibleRuns);
   return { failure: { error: lastError, notRun: possibleRuns === 0 } };
 }
--- a/packages/gateway/src/dialect.ts
+++ b/packages/gateway/src/dialect.ts
@@ -82,6 +82,11 @@
 export interface AnswerFacts {
   /** Id of the request that the answer belongs to; undefined if not given. */
   readonly callId: string | undefined;
+  /**
+   * Id that no other answer of the upstream has, also to the same request;
+   * undefined if not given.
+   */
+  readonly answerId: string | undefined;
   /** True if the upstream guarantees that it has not run the request. */
   readonly notRun: boolean;
   /** True if the answer comes from another instance than the requested one. */
--- a/packages/gateway/src/native_dialect.ts
+++ b/packages/gateway/src/native_dialect.ts
@@ -45,6 +45,8 @@
   /** Time until the program should be finished, ms. */
   FINISH: "x-finish-ms",
   NOT_RUN: "x-not-run",
+  /** Id of an answer, by which a copy of it is recognized. */
+  ANSWER: "x-answer-id",
 } as const;
 
 const SYSTEM_HEADERS: ReadonlySet<string> = new Set([
@@ -110,12 +112,13 @@
   }
 
   /**
-   * Reads the call id, the not-run header and the status. `isGenuine` is always
+   * Reads both ids, the not-run header and the status. `isGenuine` is always
    * true, because the call id is the only mark of a genuine answer.
    */
   readAnswer(head: AnswerHead): AnswerFacts {
     return {
       callId: findHeader(head.headers, NATIVE_HEADERS.CALL),
+      answerId: findHeader(head.headers, NATIVE_HEADERS.ANSWER),
       notRun: findHeader(head.headers, NATIVE_HEADERS.NOT_RUN) !== undefined,
       isWrongInstance: head.status === MISDIRECTED,
       isGenuine: true,
--- a/packages/gateway/src/upstreams/upstream.ts
+++ b/packages/gateway/src/upstreams/upstream.ts
@@ -23,6 +23,8 @@
 /** Listeners for the end of an instance that are kept; later ones replace the oldest. */
 const MAX_END_LISTENERS = 64;
 
+const NO_CONNECTIONS: ReadonlySet<UpstreamConnection> = new Set();
+
 interface IdleConnection {
   readonly connection: UpstreamConnection;
   readonly expiresAt: number;
@@ -107,18 +109,20 @@
     }
   }
 
-  /** Returns an idle connection, or opens one within the limits. */
+  /**
+   * Returns the newest idle connection that is not in `excluded`, or opens one
+   * within the limits. An excluded idle connection is closed if it takes the
+   * place of the new one.
+   */
   async acquire(
     limits: ConnectionLimits,
     now: number,
+    excluded: ReadonlySet<UpstreamConnection> = NO_CONNECTIONS,
   ): Promise<Outcome<UpstreamConnection>> {
-    let idle = this.#idle.pop();
-    while (idle !== undefined) {
-      if (idle.expiresAt > now && idle.connection.isUsable) {
-        return Ok(idle.connection);
-      }
-      idle.connection.destroy();
-      idle = this.#idle.pop();
+    const idle = this.#takeIdle(now, excluded);
+    if (idle !== undefined) return Ok(idle);
+    if (this.#connectionCount >= limits.maxConnections) {
+      this.#idle.pop()?.connection.destroy();
     }
     if (this.#connectionCount >= limits.maxConnections) {
       return fail(
@@ -158,11 +162,31 @@
     this.#idle.push({ connection, expiresAt });
   }
 
-  #removeConnection(connection: UpstreamConnection): void {
-    this.#connectionCount--;
+  #takeIdle(
+    now: number,
+    excluded: ReadonlySet<UpstreamConnection>,
+  ): UpstreamConnection | undefined {
+    for (const { connection, expiresAt } of this.#idle.toReversed()) {
+      if (expiresAt <= now || !connection.isUsable) {
+        connection.destroy();
+        continue;
+      }
+      if (excluded.has(connection)) continue;
+      this.#removeIdle(connection);
+      return connection;
+    }
+    return undefined;
+  }
+
+  #removeIdle(connection: UpstreamConnection): void {
     const index = this.#idle.findIndex((idle) =>
       idle.connection === connection
     );
     if (index !== -1) this.#idle.splice(index, 1);
   }
+
+  #removeConnection(connection: UpstreamConnection): void {
+    this.#connectionCount--;
+    this.#removeIdle(connection);
+  }
 }
