Answers without end: bounded in memory and time, at gateways and sidecars

On the new tests show: a gateway ended (out of memory) under a chunk extension without end, after which nobody was served; under interim answers without end its callers were held until the timeout (504). The sidecar's test did not end within 100 s: empty lines, chunk sizes and interim answers without end are skipped by Node.js, the rest of a response was read after its end or its timeout, and an event line that was too long threw in an event handler. A list of 16 MiB and more was kept page by page, up to 400 MB.

Cause: limits looked at a head, a chunk or the whole body, and nothing at the bytes in between.

Change, gateway: an answer may have 64 KiB and twice its body besides the body; lines between chunks, trailers, skipped answers and refusals are bounded; the connection is closed and the call ends at once as after a lost answer. A refusal counts when its head has arrived. max_answer_bytes (64 MiB) bounds the whole. A stream is broken off beyond the tokens that its turn has reserved, or 8 MiB of history. Bodies are collected by copy: slices of one byte kept their whole part. A connection with the beginning of another answer is not reused.

Change, sidecar: a connection for each request; bounds on answers (16 MiB), reports (8 MiB) and all that is no body; malformed reports are skipped; a stream that was closed before it was read counts as broken; the last resumed stream, which nobody read, is not opened.

Tried: eight bytes per byte of a body: chunks of one byte then held their callers for 20 s, so two. Overhead counted when parts of a body are read: a chunk size without end has no parts, so it is counted as bytes arrive.

--- a/packages/core/src/mod.ts
+++ b/packages/core/src/mod.ts
@@ -3,6 +3,7 @@
 export * from "./types/mod.ts";
 export * from "./result/result_codes.ts";
 export * from "./result/coded_error.ts";
+export * from "./shared/byte_collector.ts";
 export * from "./shared/message_size.ts";
 export * from "./shared/sleep.ts";
 export * from "./shared/recent_minimum.ts";
--- a/packages/core/src/settings/schema.ts
+++ b/packages/core/src/settings/schema.ts
@@ -380,6 +380,10 @@
       "Whether the leader of the stores places turns on upstreams: `auto` for services whose upstreams have less than half a slot for each gateway, `off` for none.",
       { fallback: "auto", choices: ["auto", "off"] },
     ),
+    maxAnswerBytes: numberField(
+      "Largest answer of an upstream; a larger one is broken off.",
+      { fallback: 67_108_864, min: 65_536, max: 1_099_511_627_776 },
+    ),
     unreadHoldBytes: numberField(
       "Unread bytes of an answer above which its upstream is not read until the caller catches up.",
       { fallback: 65_536, min: 1_024, max: 1_073_741_824 },
--- /dev/null
+++ b/packages/core/src/shared/byte_collector.ts
@@ -0,0 +1,52 @@
+/** Collects bytes that arrive in parts of any size. */
+
+import { Buffer } from "node:buffer";
+
+const MIN_CAPACITY_BYTES = 256;
+
+/**
+ * Copies all parts into one buffer. Slices of the received buffers would keep
+ * far more memory than their length if an upstream sends single bytes.
+ *
+ * @example
+ * ```ts
+ * const collector = new ByteCollector();
+ * collector.push(Buffer.from("ab"));
+ * collector.push(Buffer.from("c"));
+ * collector.bytes.toString(); // "abc"
+ * ```
+ */
+export class ByteCollector {
+  #buffer: Buffer = Buffer.alloc(0);
+  #length = 0;
+
+  /** Number of collected bytes. */
+  get length(): number {
+    return this.#length;
+  }
+
+  /** The collected bytes; valid until the next change. */
+  get bytes(): Buffer {
+    return this.#buffer.subarray(0, this.#length);
+  }
+
+  /** Adds a copy of the bytes. */
+  push(bytes: Buffer): void {
+    const length = this.#length + bytes.length;
+    if (length > this.#buffer.length) {
+      const grown = Buffer.allocUnsafeSlow(
+        Math.max(MIN_CAPACITY_BYTES, length, 2 * this.#buffer.length),
+      );
+      this.#buffer.copy(grown, 0, 0, this.#length);
+      this.#buffer = grown;
+    }
+    bytes.copy(this.#buffer, this.#length);
+    this.#length = length;
+  }
+
+  /** Releases the collected bytes. */
+  clear(): void {
+    this.#buffer = Buffer.alloc(0);
+    this.#length = 0;
+  }
+}
--- a/packages/gateway/src/calls/attempt.ts
+++ b/packages/gateway/src/calls/attempt.ts
@@ -44,7 +44,7 @@
 /** Receives the events of a stream as they arrive. */
 export interface EventSink {
   start(head: AnswerHead): void;
-  /** Returns false if the bytes are not a valid event stream. */
+  /** Returns false if the stream is longer than the call allows. */
   push(bytes: Buffer): boolean;
   /** How far the stream of this attempt has come. */
   readonly progress: StreamProgress;
@@ -83,6 +83,8 @@
   readonly silentMilliseconds: number;
   /** Pause within a stream after which the attempt is abandoned, ms. */
   readonly streamSilentMilliseconds: number;
+  /** Largest answer, bytes; a larger one is broken off. */
+  readonly maxAnswerBytes: number;
   /** Missing if the route does not stream events. */
   readonly events?: EventSink;
   readonly body: BodySink;
--- a/packages/gateway/src/calls/event_relay.ts
+++ b/packages/gateway/src/calls/event_relay.ts
@@ -1,7 +1,8 @@
 /** Relays the events of a stream to the caller and collects their data. */
 
-import { Buffer } from "node:buffer";
+import type { Buffer } from "node:buffer";
 import { performance } from "node:perf_hooks";
+import { ByteCollector } from "@mallowlift/core";
 import type { AnswerHead } from "../dialect.ts";
 import {
   EventSplitter,
@@ -14,6 +15,9 @@
 import type { EventSink } from "./attempt.ts";
 import type { TurnObserver } from "./turn_observer.ts";
 
+/** Largest output of a turn whose history is kept, bytes: half of a default frame. */
+const MAX_HISTORY_BYTES = 8_388_608;
+
 /**
  * Relays only complete events, so that the caller never receives a truncated
  * one. A stream that resumes at another upstream keeps the head of the first
@@ -23,7 +27,8 @@
   readonly #call: OpenCall;
   readonly #observer: TurnObserver | undefined;
   readonly #splitter = new EventSplitter();
-  readonly #data: Buffer[] = [];
+  readonly #data = new ByteCollector();
+  readonly #maxEvents: number;
   /** Head of an answer whose first event has not arrived yet. */
   #waitingHead: AnswerHead | undefined;
   #eventCount = 0;
@@ -34,6 +39,7 @@
   constructor(call: OpenCall, observer?: TurnObserver) {
     this.#call = call;
     this.#observer = observer;
+    this.#maxEvents = findMaxEvents(call);
   }
 
   /** Number of events with data that were sent to the caller. */
@@ -56,7 +62,7 @@
    * keeps no history.
    */
   joinData(): Buffer {
-    return Buffer.concat(this.#data);
+    return this.#data.bytes;
   }
 
   /**
@@ -69,28 +75,35 @@
     this.#waitingHead = head;
   }
 
-  /** Sends all complete events; false if an event is too long. */
+  /**
+   * Sends all complete events; false if an event is too long, or if the stream
+   * exceeds the tokens that are reserved for it or the history that can be kept.
+   */
   push(bytes: Buffer): boolean {
     const { keepsHistory } = this.#call.parts.route;
     const events: Buffer[] = [];
+    let isTooLong = false;
     for (const event of this.#splitter.push(bytes)) {
       const data = readEventData(event);
       if (data.length > 0) this.#hasEvents = true;
       const id = readEventId(event);
-      if (id !== undefined) {
-        if (this.#isDuplicate(id)) continue;
-        this.#lastId = id;
+      if (id !== undefined && this.#isDuplicate(id)) continue;
+      if (data.length > 0 && this.#eventCount >= this.#maxEvents) {
+        isTooLong = true;
+        break;
       }
-      if (keepsHistory) this.#data.push(Buffer.from(data));
+      if (id !== undefined) this.#lastId = id;
       if (data.length > 0) {
         this.#eventCount++;
         this.#observer?.recordEvent(performance.now());
       }
+      if (keepsHistory) this.#data.push(data);
       events.push(event);
     }
     if (events.length > 0) this.#sendHead();
     this.#call.sendEvents(events);
-    return !this.#splitter.isTooLong;
+    return !isTooLong && !this.#splitter.isTooLong &&
+      this.#data.length <= MAX_HISTORY_BYTES;
   }
 
   /** How far the stream of the current attempt has come. */
@@ -119,3 +132,15 @@
     return this.#lastId !== "" && Number(id) <= Number(this.#lastId);
   }
 }
+
+/**
+ * Events that the tokens reserved for a call with a budget allow; Infinity if
+ * none are reserved. Only the reserved tokens are certain to be within the
+ * budget of the program.
+ */
+function findMaxEvents(call: OpenCall): number {
+  const { facts, table, service } = call.parts;
+  if (facts.tokenBudget < 0 || facts.mostTokens <= 0) return Infinity;
+  const tokensPerEvent = table.findService(service)?.tokensPerEvent ?? 1;
+  return Math.ceil(facts.mostTokens / tokensPerEvent);
+}
--- a/packages/gateway/src/calls/run_attempt.ts
+++ b/packages/gateway/src/calls/run_attempt.ts
@@ -1,8 +1,9 @@
 /** Runs one attempt of a call at one upstream. */
 
-import { Buffer } from "node:buffer";
+import type { Buffer } from "node:buffer";
 import { performance } from "node:perf_hooks";
 import {
+  ByteCollector,
   type CodedError,
   createDeferred,
   type Deferred,
@@ -43,7 +44,12 @@
  * requests.
  */
 const UNRESPONSIVE_MILLISECONDS = 500;
+/** Largest body of a refusal that is read so that its connection can be reused, bytes. */
+const MAX_REFUSAL_BYTES = 65_536;
+/** Wait for the rest of a refusal after its head, ms; then its connection is closed. */
+const REFUSAL_WAIT_MILLISECONDS = 250;
 const EVENT_STREAM_TYPE = "text/event-stream";
+const ANSWER_TOO_LONG_MESSAGE = "The answer is larger than the limit";
 const UNREAD_REQUESTS_MESSAGE =
   "Too many bytes wait until the upstream reads them";
 /** Status for a request whose remaining time was too short for the upstream. */
@@ -113,8 +119,7 @@
   #head: AnswerHead | undefined;
   #framing: AnswerFraming | undefined;
   #receivedBytes = 0;
-  #buffered: Buffer[] = [];
-  #bufferedBytes = 0;
+  readonly #buffered = new ByteCollector();
   #isStream = false;
   #isForwarding = false;
   #notRun: CodedError | undefined;
@@ -180,10 +185,22 @@
     this.#head = head;
     this.#framing = framing;
     this.#stopSilenceTimer();
+    if (this.#notRun !== undefined) {
+      this.#startSilenceTimer(REFUSAL_WAIT_MILLISECONDS);
+      return "own";
+    }
+    const length = Number(findHeader(head.headers, "content-length") ?? 0);
+    if (
+      framing === ANSWER_FRAMINGS.LENGTH &&
+      length > this.#options.maxAnswerBytes
+    ) {
+      this.#spoil(ANSWER_TOO_LONG_MESSAGE);
+      return "own";
+    }
     // On a route that streams, an answer that names no type is a stream.
     const type = findHeader(head.headers, "content-type") ?? EVENT_STREAM_TYPE;
     this.#isStream = events !== undefined && head.status === 200 &&
-      this.#notRun === undefined && type.startsWith(EVENT_STREAM_TYPE);
+      type.startsWith(EVENT_STREAM_TYPE);
     if (this.#isStream) {
       this.#recordLatency();
       this.#startSilenceTimer(this.#options.streamSilentMilliseconds);
@@ -195,17 +212,22 @@
 
   onBody(bytes: Buffer): void {
     this.#receivedBytes += bytes.length;
+    if (this.#notRun !== undefined) {
+      if (this.#receivedBytes > MAX_REFUSAL_BYTES) this.#endRefusal();
+      return;
+    }
+    if (this.#receivedBytes > this.#options.maxAnswerBytes) {
+      return this.#spoil(ANSWER_TOO_LONG_MESSAGE);
+    }
     if (this.#isStream) {
       this.#silenceTimer?.refresh();
-      if (this.#options.events?.push(bytes) === false) {
-        this.#abandon(RESULT_CODES.ANSWER_SPOILED, LOSS_CAUSES.MALFORMED);
-      }
+      const isValid = this.#options.events?.push(bytes) ?? true;
+      if (!isValid) this.#spoil("The stream is longer than the call allows");
       return;
     }
     if (this.#isForwarding) return this.#options.body.push(bytes);
-    this.#bufferedBytes += bytes.length;
     this.#buffered.push(bytes);
-    if (this.#bufferedBytes > MAX_BUFFERED_BYTES) this.#startForwarding();
+    if (this.#buffered.length > MAX_BUFFERED_BYTES) this.#startForwarding();
   }
 
   onWritten(): void {
@@ -233,7 +255,7 @@
     this.#settle({
       kind: "whole",
       head,
-      body: Buffer.concat(this.#buffered),
+      body: this.#buffered.bytes,
       streamed: this.#isStream || this.#isForwarding,
     });
   }
@@ -261,16 +283,12 @@
   #startForwarding(): void {
     const head = this.#head;
     if (head === undefined) return this.#abandonUnexpected();
-    // A refusal is never sent to the caller, so its body is dropped.
-    if (this.#notRun !== undefined) {
-      this.#buffered = [];
-      return;
-    }
     this.#isForwarding = true;
     this.#recordResult(head);
     this.#options.body.start(head);
     this.#options.flow.setSource(this);
-    for (const part of this.#buffered.splice(0)) this.#options.body.push(part);
+    this.#options.body.push(this.#buffered.bytes);
+    this.#buffered.clear();
   }
 
   #startSilenceTimer(milliseconds: number): void {
@@ -284,12 +302,14 @@
   }
 
   #handleSilence(): void {
+    if (this.#notRun !== undefined) return this.#endRefusal();
     this.#recordSilence(performance.now());
     this.#abandon(RESULT_CODES.TIMEOUT, LOSS_CAUSES.SILENT);
   }
 
   /** Handles the call's timeout or its caller's disconnect. */
   #handleAbort(): void {
+    if (this.#notRun !== undefined) return this.#endRefusal();
     const now = performance.now();
     const isUnresponsive = this.#head === undefined &&
       now - this.#sentAt >= UNRESPONSIVE_MILLISECONDS;
@@ -312,6 +332,18 @@
     this.#settle({ kind: "lost", error: createError(code), cause });
   }
 
+  /** Ends an attempt whose answer cannot be a valid one. */
+  #spoil(message: string): void {
+    this.#connection.destroy();
+    this.onFailure(LOSS_CAUSES.MALFORMED, message);
+  }
+
+  /** Ends a refused attempt without reading the rest of the refusal. */
+  #endRefusal(): void {
+    this.#connection.destroy();
+    this.onFailure(LOSS_CAUSES.CLOSED, "The refusal was not read to its end");
+  }
+
   /** The connection reports the parts of an answer after its head only. */
   #abandonUnexpected(): void {
     this.#abandon(RESULT_CODES.INTERNAL, LOSS_CAUSES.MALFORMED);
--- a/packages/gateway/src/calls/run_attempt_test.ts
+++ b/packages/gateway/src/calls/run_attempt_test.ts
@@ -45,6 +45,7 @@
     signal: new AbortController().signal,
     silentMilliseconds: Infinity,
     streamSilentMilliseconds: Infinity,
+    maxAnswerBytes: Infinity,
     body: { start: () => undefined, push: () => undefined },
     flow: { setSource: () => undefined },
     unsent: new UnsentRequests(LIMITS),
--- a/packages/gateway/src/calls/run_call_attempt.ts
+++ b/packages/gateway/src/calls/run_call_attempt.ts
@@ -71,6 +71,7 @@
     streamSilentMilliseconds: details.isLast || !isResumable(route)
       ? Infinity
       : parts.settings.silentMilliseconds,
+    maxAnswerBytes: parts.settings.maxAnswerBytes,
     events: options.events,
     body: new BodyRelay(call),
     flow: call,
--- a/packages/gateway/src/upstreams/answer_parser.ts
+++ b/packages/gateway/src/upstreams/answer_parser.ts
@@ -14,6 +14,16 @@
 } from "./answer_framing.ts";
 
 const LENGTH_PATTERN = /^\d{1,15}$/;
+/** Longest line of a chunk's head or of the trailers, bytes. */
+const MAX_LINE_BYTES = 16_384;
+/** Largest size of the trailers, which are skipped, bytes. */
+const MAX_TRAILER_BYTES = 65_536;
+/**
+ * Bytes besides the body that an answer may have in any case, and in addition
+ * for each byte of its body. A chunk needs five bytes or more.
+ */
+const OVERHEAD_BYTES = 65_536;
+const OVERHEAD_PER_BODY_BYTE = 2;
 const CHUNK_SIZE_PATTERN = /^([0-9a-fA-F]{1,8})(?:;.*)?$/;
 
 /** Receives the parsed parts of the answers. */
@@ -29,18 +39,31 @@
   onComplete(mayReuse: boolean): void;
 }
 
-interface ChunkParser {
+/** The parts of http-parser-js that its types do not declare. */
+interface LineParser {
   state: string;
+  /** The beginning of a line whose rest has not arrived. */
+  line: string;
+  /** Bytes that count towards the largest head. */
+  headerSize: number;
   body_bytes: number;
   consumeLine(): string | undefined;
+  nextRequest(): void;
   BODY_CHUNKHEAD(): void;
+  BODY_CHUNKTRAILERS(): void;
 }
 
+const CHUNK_STATES: ReadonlySet<string> = new Set([
+  "BODY_CHUNKHEAD",
+  "BODY_CHUNKEMPTYLINE",
+  "BODY_CHUNKTRAILERS",
+]);
+
 /**
  * Makes the parser fail on an invalid chunk size, which http-parser-js would
- * read as the end of the body.
+ * read as the end of the body, and skip trailers, which it would collect.
  */
-function rejectInvalidChunkSizes(parser: ChunkParser): void {
+function replaceChunkStates(parser: LineParser): void {
   parser.BODY_CHUNKHEAD = () => {
     const line = parser.consumeLine();
     if (line === undefined) return;
@@ -51,6 +74,18 @@
       ? "BODY_CHUNKTRAILERS"
       : "BODY_CHUNK";
   };
+  let trailerBytes = 0;
+  parser.BODY_CHUNKTRAILERS = () => {
+    const line = parser.consumeLine();
+    if (line === undefined) return;
+    trailerBytes += line.length;
+    if (trailerBytes > MAX_TRAILER_BYTES) {
+      throw new Error("The trailers are too long");
+    }
+    if (line !== "") return;
+    trailerBytes = 0;
+    parser.nextRequest();
+  };
 }
 
 /**
@@ -59,16 +94,20 @@
  */
 export class AnswerParser {
   readonly #parser = new HTTPParser(HTTPParser.RESPONSE);
+  readonly #lines = this.#parser as unknown as LineParser;
   #isInAnswer = false;
   #isInformational = false;
   #isReusable = true;
   #framingError: string | undefined;
+  /** Bytes of the current answer, with the interim answers before it. */
+  #receivedBytes = 0;
+  #bodyBytes = 0;
   /** Method of the request that is answered. */
   requestMethod = "GET";
 
   constructor(listener: AnswerParserListener) {
     const parser = this.#parser;
-    rejectInvalidChunkSizes(parser as unknown as ChunkParser);
+    replaceChunkStates(this.#lines);
     parser[HTTPParser.kOnHeadersComplete] = (info) => {
       const headers = info.headers;
       this.#isInAnswer = true;
@@ -85,6 +124,7 @@
       return framing === ANSWER_FRAMINGS.NO_BODY ? 1 : 0;
     };
     parser[HTTPParser.kOnBody] = (chunk, offset, length) => {
+      this.#bodyBytes += length;
       if (this.#framingError === undefined) {
         listener.onBody(chunk.subarray(offset, offset + length));
       }
@@ -92,6 +132,8 @@
     parser[HTTPParser.kOnMessageComplete] = () => {
       this.#isInAnswer = false;
       if (this.#isInformational || this.#framingError !== undefined) return;
+      this.#receivedBytes = 0;
+      this.#bodyBytes = 0;
       listener.onComplete(this.#isReusable);
     };
   }
@@ -101,11 +143,31 @@
     return this.#isInAnswer;
   }
 
+  /** True if bytes of an answer have arrived whose head is not complete. */
+  get isInHead(): boolean {
+    const { state, line } = this.#lines;
+    return !this.#isInAnswer && (line !== "" || state === "HEADER");
+  }
+
   /** Parses bytes; returns a message if they are not a valid answer. */
   push(bytes: Buffer): string | undefined {
+    this.#receivedBytes += bytes.length;
     const parsed = this.#parser.execute(bytes);
     if (parsed instanceof Error) return parsed.message;
-    return this.#framingError;
+    // The library counts the whole part that ends an answer as a head.
+    if (!this.#isInAnswer && !this.isInHead) this.#lines.headerSize = 0;
+    return this.#framingError ?? this.#findExcess();
+  }
+
+  /** Returns a message if an answer consists of too much besides its body. */
+  #findExcess(): string | undefined {
+    const { state, line } = this.#lines;
+    if (CHUNK_STATES.has(state) && line.length > MAX_LINE_BYTES) {
+      return "A line between two chunks of the answer is too long";
+    }
+    const limit = OVERHEAD_BYTES + OVERHEAD_PER_BODY_BYTE * this.#bodyBytes;
+    if (this.#receivedBytes - this.#bodyBytes <= limit) return undefined;
+    return "The answer has too much besides its body";
   }
 
   /**
--- a/packages/gateway/src/upstreams/upstream_connection.ts
+++ b/packages/gateway/src/upstreams/upstream_connection.ts
@@ -14,6 +14,8 @@
  * connection is closed.
  */
 const MAX_SKIPPED_ANSWERS = 4;
+/** Largest bodies of such answers together, bytes. */
+const MAX_SKIPPED_BYTES = 1_048_576;
 
 /**
  * Whether an answer belongs to the pending request, to another one, or cannot
@@ -81,6 +83,7 @@
   #listener: AnswerListener | undefined;
   #isOwnAnswer = false;
   #skippedAnswers = 0;
+  #skippedBytes = 0;
   #isFlushed = true;
   #isUsable = true;
   /**
@@ -101,9 +104,7 @@
     this.#socket = socket;
     this.#parser = new AnswerParser({
       onHead: (head, framing) => this.#handleHead(head, framing),
-      onBody: (bytes) => {
-        if (this.#isOwnAnswer) this.#listener?.onBody(bytes);
-      },
+      onBody: (bytes) => this.#handleBody(bytes),
       onComplete: (mayReuse) => this.#handleComplete(mayReuse),
     });
     socket.on("data", (bytes: Buffer) => this.#handleBytes(bytes));
@@ -203,6 +204,13 @@
     }
   }
 
+  #handleBody(bytes: Buffer): void {
+    if (this.#isOwnAnswer) return this.#listener?.onBody(bytes);
+    this.#skippedBytes += bytes.length;
+    if (this.#skippedBytes <= MAX_SKIPPED_BYTES) return;
+    this.#fail("The answers to earlier requests are too large");
+  }
+
   #handleComplete(mayReuse: boolean): void {
     if (!this.#isOwnAnswer) return;
     this.#isOwnAnswer = false;
@@ -225,7 +233,11 @@
       return this.#fail("The upstream sent bytes without a pending request");
     }
     const failure = this.#parser.push(bytes);
-    if (failure !== undefined) this.#fail(failure);
+    if (failure !== undefined) return this.#fail(failure);
+    // The rest of such an answer would be taken for the next one.
+    if (this.#listener === undefined && this.#parser.isInHead) {
+      this.#fail("The upstream sent bytes without a pending request");
+    }
   }
 
   #handleEnd(): void {
--- a/packages/sidecar/src/upstream/engine_client.ts
+++ b/packages/sidecar/src/upstream/engine_client.ts
@@ -1,6 +1,5 @@
 /** Upstream client for a model engine. */
 
-import type { IncomingMessage } from "node:http";
 import type { Buffer } from "node:buffer";
 import {
   type Answer,
@@ -20,7 +19,17 @@
   type StreamStep,
 } from "./engine_stream.ts";
 import { EventLineReader } from "./event_lines.ts";
-import { HttpClient, isConnectionRefused } from "./http_client.ts";
+import {
+  HttpClient,
+  isConnectionRefused,
+  type LimitedResponse,
+  MAX_ANSWER_BYTES,
+} from "./http_client.ts";
+import {
+  parseCacheEvents,
+  parseLoad,
+  parseSessions,
+} from "./engine_reports.ts";
 import type {
   UpstreamClient,
   UpstreamLoad,
@@ -39,12 +48,6 @@
   readonly metrics: Metrics;
 }
 
-interface EngineCacheEvent {
-  readonly sequence: number;
-  readonly session: string;
-  readonly tokens: number;
-}
-
 /** Runs model calls on one engine and resumes their streams when they break. */
 export class EngineClient implements UpstreamClient {
   readonly #options: EngineClientOptions;
@@ -66,18 +69,19 @@
       );
     }
     const stream = new EngineStream(streamId, (text) => run.onText(text));
-    let response: IncomingMessage | undefined = await this.#startStream(
+    let response: LimitedResponse | undefined = await this.#startStream(
       run,
       request.body,
     );
-    for (let resumes = 0; resumes <= MAX_RESUMES; resumes++) {
+    for (let resumes = 0;; resumes++) {
       const step = response === undefined
         ? STREAM_STEPS.BROKEN
         : await this.#readStream(response, stream);
       if (step === STREAM_STEPS.COMPLETE) {
         return Ok(this.#createAnswer(stream, request.told));
       }
-      if (run.signal.aborted) break;
+      if (run.signal.aborted || step === STREAM_STEPS.TOO_LONG) break;
+      if (resumes === MAX_RESUMES) break;
       const reason = RESULT_CODES.UPSTREAM_ERROR.name;
       this.#options.metrics.retries.inc({ part: "engine", reason });
       response = await this.#resumeStream(streamId, stream.text.length);
@@ -88,7 +92,7 @@
     }
     return fail(
       RESULT_CODES.UPSTREAM_ERROR,
-      "The engine's stream broke and could not be resumed",
+      "The engine's stream was too long, or broke and could not be resumed",
     );
   }
 
@@ -96,11 +100,7 @@
   async readLoad(): Promise<UpstreamLoad | undefined> {
     try {
       const response = await this.#sendControl("GET", "/v1/load");
-      const load = JSON.parse(response.body) as {
-        models: readonly string[];
-        step_milliseconds: number;
-      };
-      return { models: load.models, stepMilliseconds: load.step_milliseconds };
+      return parseLoad(response.body);
     } catch {
       return undefined;
     }
@@ -110,9 +110,7 @@
   async readCacheChanges(): Promise<readonly CacheChange[]> {
     const path = `/v1/cache/events?after=${this.#lastEventSequence}`;
     const response = await this.#sendControl("GET", path);
-    const { events } = JSON.parse(response.body) as {
-      readonly events: readonly EngineCacheEvent[];
-    };
+    const events = parseCacheEvents(response.body);
     this.#lastEventSequence = events.at(-1)?.sequence ??
       this.#lastEventSequence;
     return events.map(({ session, tokens }) => ({
@@ -124,8 +122,7 @@
   /** Lists programs with cached tokens. */
   async listSessions(): Promise<readonly string[]> {
     const response = await this.#sendControl("GET", "/v1/cache/sessions");
-    return (JSON.parse(response.body) as { sessions: readonly string[] })
-      .sessions;
+    return parseSessions(response.body);
   }
 
   /** Releases the cached tokens of a program. */
@@ -144,7 +141,7 @@
   async #startStream(
     run: UpstreamRun,
     body: ModelCall,
-  ): Promise<IncomingMessage | undefined> {
+  ): Promise<LimitedResponse | undefined> {
     const { request, streamId } = run;
     const payload = JSON.stringify({
       id: streamId,
@@ -167,7 +164,7 @@
   async #resumeStream(
     streamId: string,
     offset: number,
-  ): Promise<IncomingMessage | undefined> {
+  ): Promise<LimitedResponse | undefined> {
     return await this.#openStream({
       method: "GET",
       path: `/v1/streams/${streamId}?offset=${offset}`,
@@ -179,17 +176,17 @@
     readonly path: string;
     readonly payload?: string;
     readonly run?: UpstreamRun;
-  }): Promise<IncomingMessage | undefined> {
+  }): Promise<LimitedResponse | undefined> {
     try {
-      const response = await this.#http.open({
+      const opened = await this.#http.open({
         method: request.method,
         path: request.path,
         payload: request.payload,
         signal: request.run?.signal,
         timeoutMilliseconds: this.#options.silentMilliseconds,
       });
-      if (response.statusCode === 200) return response;
-      response.resume();
+      if (opened.response.statusCode === 200) return opened;
+      opened.response.destroy();
       return undefined;
     } catch (thrown) {
       if (!isConnectionRefused(thrown)) return undefined;
@@ -199,29 +196,37 @@
   }
 
   async #readStream(
-    response: IncomingMessage,
+    { response, limit }: LimitedResponse,
     stream: EngineStream,
   ): Promise<StreamStep> {
+    // It may have failed with its first bytes, and then reports nothing more.
+    if (response.destroyed) return STREAM_STEPS.BROKEN;
     const done = createDeferred<StreamStep>();
     const lines = new EventLineReader();
     const idleTimer = setTimeout(
       () => done.resolve(STREAM_STEPS.BROKEN),
       this.#options.silentMilliseconds,
     );
+    let bodyBytes = 0;
     response.on("data", (bytes: Buffer) => {
       idleTimer.refresh();
+      limit.addBody(bytes);
+      bodyBytes += bytes.length;
+      if (bodyBytes > MAX_ANSWER_BYTES) {
+        return done.resolve(STREAM_STEPS.TOO_LONG);
+      }
       for (const data of lines.push(bytes)) {
         const step = stream.processData(data);
         if (step !== STREAM_STEPS.CONTINUE) return done.resolve(step);
       }
+      if (lines.isTooLong) done.resolve(STREAM_STEPS.TOO_LONG);
     });
     response.on("error", () => done.resolve(STREAM_STEPS.BROKEN));
     response.on("close", () => done.resolve(STREAM_STEPS.BROKEN));
     const step = await done.promise;
     clearTimeout(idleTimer);
     response.removeAllListeners("data");
-    if (step === STREAM_STEPS.COMPLETE) response.resume();
-    else response.destroy();
+    response.destroy();
     return step;
   }
 
--- a/packages/sidecar/src/upstream/engine_stream.ts
+++ b/packages/sidecar/src/upstream/engine_stream.ts
@@ -22,6 +22,8 @@
   COMPLETE: "whole",
   /** An event is missing, foreign or malformed: resume from the offset. */
   BROKEN: "broken",
+  /** The stream is longer than any valid one. */
+  TOO_LONG: "too_long",
 } as const;
 
 /** One of {@linkcode STREAM_STEPS}. */
--- a/packages/sidecar/src/upstream/event_lines.ts
+++ b/packages/sidecar/src/upstream/event_lines.ts
@@ -10,18 +10,16 @@
   readonly #decoder = new StringDecoder("utf8");
   #partialLine = "";
 
-  /**
-   * Adds bytes and returns the data values of the lines that they complete.
-   *
-   * @throws {Error} if an incomplete line exceeds the maximum length
-   */
+  /** True if an incomplete line exceeds the maximum length. */
+  get isTooLong(): boolean {
+    return this.#partialLine.length > MAX_LINE_LENGTH;
+  }
+
+  /** Adds bytes and returns the data values of the lines that they complete. */
   push(bytes: Buffer): readonly string[] {
     const text = this.#partialLine + this.#decoder.write(bytes);
     const lines = text.split("\n");
     this.#partialLine = lines.pop() ?? "";
-    if (this.#partialLine.length > MAX_LINE_LENGTH) {
-      throw new Error("An event line exceeds the maximum length");
-    }
     const values: string[] = [];
     for (const line of lines) {
       if (line.startsWith("data:")) values.push(line.slice(5).trim());
--- a/packages/sidecar/src/upstream/http_client.ts
+++ b/packages/sidecar/src/upstream/http_client.ts
@@ -1,10 +1,22 @@
 /** HTTP client for an upstream, based on wreck. */
 
-import { Agent } from "node:http";
-import type { IncomingMessage } from "node:http";
+import type { Buffer } from "node:buffer";
+import { Agent, type ClientRequest, type IncomingMessage } from "node:http";
+import { ByteCollector } from "@mallowlift/core";
 import Wreck from "@hapi/wreck";
 
-const MAX_RESPONSE_BYTES = 64 * 1_024 * 1_024;
+/** Largest answer to a call, bytes: the default size of an internal frame. */
+export const MAX_ANSWER_BYTES = 16_777_216;
+/** Largest response to any other request, bytes. */
+const MAX_REPORT_BYTES = 8_388_608;
+/** Below the maximum delay of a Node.js timer, 2^31 - 1 ms. */
+const MAX_TIMEOUT_MILLISECONDS = 2_000_000_000;
+/**
+ * Bytes besides the body that a response may have in any case, and in addition
+ * for each byte of its body. Some are counted before the body that they frame.
+ */
+const OVERHEAD_BYTES = 131_072;
+const OVERHEAD_PER_BODY_BYTE = 2;
 
 /** An HTTP response with its complete body. */
 export interface HttpResponse {
@@ -19,30 +31,64 @@
   readonly payload?: string;
   readonly headers?: Readonly<Record<string, string>>;
   readonly timeoutMilliseconds?: number;
+  /** Largest body of the response, bytes; 8 MiB by default. */
+  readonly maxBytes?: number;
   readonly signal?: AbortSignal;
 }
 
-/** Sends requests to one base address over keep-alive connections. */
+/** A response whose body has not been read. */
+export interface LimitedResponse {
+  readonly response: IncomingMessage;
+  /** Gets the parts of the body as they are read. */
+  readonly limit: ResponseLimit;
+}
+
+/**
+ * Ends a request whose response consists of too much besides its body. Node.js
+ * skips any number of empty lines, interim responses and digits of a chunk size.
+ */
+export class ResponseLimit {
+  #receivedBytes = 0;
+  #bodyBytes = 0;
+
+  constructor(request: ClientRequest) {
+    request.once("socket", (socket) =>
+      socket.on("data", (bytes: Buffer) => {
+        this.#receivedBytes += bytes.length;
+        if (this.#receivedBytes - this.#bodyBytes <= this.#allowedOverhead) {
+          return;
+        }
+        request.destroy(
+          new Error("The response has too much besides its body"),
+        );
+      }));
+  }
+
+  get #allowedOverhead(): number {
+    return OVERHEAD_BYTES + OVERHEAD_PER_BODY_BYTE * this.#bodyBytes;
+  }
+
+  /** Adds a part of the body that was read. */
+  addBody(bytes: Buffer): void {
+    this.#bodyBytes += bytes.length;
+  }
+}
+
+/**
+ * Sends requests to one base address, each over a connection of its own: what
+ * an upstream sends after a response would be taken for the response to the
+ * next request on the connection.
+ */
 export class HttpClient {
   readonly #baseUrl: string;
-  readonly #agent = new Agent({ keepAlive: true, maxSockets: Infinity });
-  /**
-   * For calls that must not be retried: a reused connection may be half
-   * closed, so they use a new one.
-   */
-  readonly #unpooledAgent = new Agent({
-    keepAlive: false,
-    maxSockets: Infinity,
-  });
+  readonly #agent = new Agent({ keepAlive: false, maxSockets: Infinity });
 
   constructor(baseUrl: string) {
     this.#baseUrl = baseUrl;
   }
 
   /** Sends a request and returns the response once its head has arrived. */
-  async open(
-    request: HttpRequest & { readonly usesNewConnection?: boolean },
-  ): Promise<IncomingMessage> {
+  async open(request: HttpRequest): Promise<LimitedResponse> {
     const options = {
       baseUrl: this.#baseUrl,
       payload: request.payload,
@@ -52,7 +98,7 @@
           : { "content-type": "application/json" },
         ...request.headers,
       },
-      agent: request.usesNewConnection ? this.#unpooledAgent : this.#agent,
+      agent: this.#agent,
       ...request.timeoutMilliseconds === undefined
         ? {}
         : { timeout: request.timeoutMilliseconds },
@@ -64,6 +110,7 @@
     );
     const abort = () =>
       pendingResponse.req.destroy(new Error("The request was cancelled"));
+    const limit = new ResponseLimit(pendingResponse.req);
     request.signal?.addEventListener("abort", abort, { once: true });
     if (request.signal?.aborted) abort();
     const response = await pendingResponse;
@@ -71,22 +118,33 @@
       "close",
       () => request.signal?.removeEventListener("abort", abort),
     );
-    return response;
+    return { response, limit };
   }
 
   /** Sends a request and reads the complete response. */
-  async send(
-    request: HttpRequest & { readonly usesNewConnection?: boolean },
-  ): Promise<HttpResponse> {
-    const response = await this.open(request);
-    const timeout = request.timeoutMilliseconds === undefined
-      ? {}
-      : { timeout: request.timeoutMilliseconds };
-    const body = await Wreck.read(response, {
-      ...timeout,
-      maxBytes: MAX_RESPONSE_BYTES,
-    });
-    return { status: response.statusCode ?? 0, body: String(body) };
+  async send(request: HttpRequest): Promise<HttpResponse> {
+    const { response, limit } = await this.open(request);
+    const { timeoutMilliseconds = MAX_TIMEOUT_MILLISECONDS } = request;
+    const timer = setTimeout(
+      () => response.destroy(new Error("Reading the response timed out")),
+      timeoutMilliseconds,
+    );
+    const body = new ByteCollector();
+    try {
+      // Leaving the loop destroys the response.
+      for await (const bytes of response as AsyncIterable<Buffer>) {
+        body.push(bytes);
+        limit.addBody(bytes);
+        if (body.length <= (request.maxBytes ?? MAX_REPORT_BYTES)) continue;
+        throw new Error("The response is too large");
+      }
+      return {
+        status: response.statusCode ?? 0,
+        body: body.bytes.toString(),
+      };
+    } finally {
+      clearTimeout(timer);
+    }
   }
 }
 
--- a/packages/sidecar/src/upstream/service_client.ts
+++ b/packages/sidecar/src/upstream/service_client.ts
@@ -10,7 +10,11 @@
   type ServiceCall,
 } from "@mallowlift/core";
 import { Ok } from "ts-results";
-import { HttpClient, isConnectionRefused } from "./http_client.ts";
+import {
+  HttpClient,
+  isConnectionRefused,
+  MAX_ANSWER_BYTES,
+} from "./http_client.ts";
 import type {
   UpstreamClient,
   UpstreamLoad,
@@ -103,8 +107,8 @@
       payload: body.payload,
       headers: { "idempotency-key": `${programId}/${requestId}` },
       timeoutMilliseconds: this.#silentMilliseconds,
+      maxBytes: MAX_ANSWER_BYTES,
       signal: run.signal,
-      usesNewConnection: !body.idempotent,
     });
   }
 }
--- /dev/null
+++ b/packages/sidecar/src/upstream/unruly_upstreams_test.ts
@@ -0,0 +1,142 @@
+import { type AddressInfo, createServer, type Socket } from "node:net";
+import {
+  type CallBody,
+  createMetrics,
+  RESULT_CODES,
+  SILENT_LOGGER,
+} from "@mallowlift/core";
+import { ENDLESS_ANSWERS, ENDLESS_KINDS } from "@mallowlift/mocks";
+import { type Test, test } from "tap";
+import { EngineClient } from "./engine_client.ts";
+import { ServiceClient } from "./service_client.ts";
+import type { UpstreamClient, UpstreamRun } from "./upstream_client.ts";
+
+/** Time without data after which an answer fails, ms; far above what a test takes. */
+const SILENT_MILLISECONDS = 60_000;
+const MODEL_CALL: CallBody = {
+  kind: "model",
+  model: "m",
+  messages: [],
+  maxTokens: 8,
+};
+
+function createServiceCall(operation: string): CallBody {
+  const service = "s";
+  return {
+    kind: "service",
+    service,
+    operation,
+    payload: "{}",
+    idempotent: true,
+  };
+}
+
+function createRun(body: CallBody): UpstreamRun {
+  const { signal } = new AbortController();
+  return {
+    request: {
+      key: { group: 0, programId: "p", requestId: "r", attempt: 1 },
+      term: 1,
+      bootId: "boot",
+      outfit: "north",
+      priority: 1,
+      attainedTokens: 0,
+      deadlineAt: Infinity,
+      body,
+      prompt: [],
+      told: "",
+    },
+    streamId: "stream-1",
+    signal,
+    onText: () => undefined,
+  };
+}
+
+function createEngine(url: string): UpstreamClient {
+  return new EngineClient({
+    url,
+    silentMilliseconds: SILENT_MILLISECONDS,
+    logger: SILENT_LOGGER,
+    metrics: createMetrics(),
+  });
+}
+
+/** Starts a server that handles what arrives on its connections. */
+async function serve(
+  t: Test,
+  handle: (socket: Socket, text: string) => void,
+): Promise<{ readonly url: string; readonly sockets: ReadonlySet<Socket> }> {
+  const sockets = new Set<Socket>();
+  const server = createServer((socket) => {
+    sockets.add(socket);
+    socket.on("close", () => sockets.delete(socket));
+    socket.on("error", () => socket.destroy());
+    socket.on("data", (bytes) => handle(socket, String(bytes)));
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, "127.0.0.1", () => resolve());
+  });
+  t.teardown(() => {
+    for (const socket of sockets) socket.destroy();
+    server.close();
+  });
+  const { port } = server.address() as AddressInfo;
+  return { url: `http://127.0.0.1:${port}`, sockets };
+}
+
+function formatAnswer(body: string): string {
+  return `HTTP/1.1 200 OK\r\nContent-Length: ${body.length}\r\n\r\n${body}`;
+}
+
+/** Waits for a result; a failure counts as one. */
+async function settle(result: Promise<unknown>): Promise<void> {
+  await result.catch(() => undefined);
+}
+
+// Guards against an upstream that never ends an answer or a report: its bytes filled the
+// memory of the sidecar, ended its process, or kept a connection for good.
+test("an answer without end ends its connection, not the sidecar", async (t) => {
+  for (const kind of ENDLESS_KINDS) {
+    const { start, repeat } = ENDLESS_ANSWERS[kind];
+    const own = formatAnswer("own");
+    const { url, sockets } = await serve(t, (socket) => {
+      const sendMore = () => {
+        while (!socket.destroyed && socket.write(repeat("c", own))) continue;
+      };
+      socket.on("drain", sendMore);
+      socket.write(start("c", own));
+      sendMore();
+    });
+    const service = new ServiceClient(url, SILENT_MILLISECONDS);
+    const engine = createEngine(url);
+    const served = await service.run(createRun(createServiceCall("o")));
+    // An answer names no call, so only one that comes first is taken.
+    const isOwnFirst = kind.startsWith("surplus");
+    if (isOwnFirst) t.equal(served.unwrap().text, "own", kind);
+    const generated = await engine.run(createRun(MODEL_CALL));
+    t.ok(generated.err, `${kind}: ${RESULT_CODES.UPSTREAM_ERROR.name}`);
+    await service.readLoad();
+    await settle(engine.readCacheChanges());
+    await settle(engine.listSessions());
+    t.equal(await engine.readLoad(), undefined, kind);
+    while (sockets.size > 0) await new Promise(setImmediate);
+  }
+});
+
+// Guards against the second copy of an answer that is taken for the answer to the next
+// request on its connection.
+test("a surplus answer does not answer the next request", async (t) => {
+  const { url } = await serve(t, (socket, text) => {
+    const operation = /operations\/(\S+)/.exec(text)?.[1];
+    if (operation === undefined) return;
+    socket.write(formatAnswer(operation));
+    setImmediate(() => socket.write(formatAnswer(operation)));
+  });
+  const service = new ServiceClient(url, SILENT_MILLISECONDS);
+  for (const operation of ["first", "second", "third"]) {
+    const run = createRun(createServiceCall(operation));
+    const answered = await service.run(run);
+    t.equal(answered.unwrap().text, operation);
+    await new Promise((resolve) => setTimeout(resolve, 20));
+  }
+});
