Attempts of a withdrawn call do not count for its next acceptance

A call of a program that no sidecar took is withdrawn, and its caller may send it again under its request id. Its attempts were numbered from 1 again, so that a sidecar took the next dispatch for the earlier one: the earlier end answered it, also if the body was another, or a fence refused it. An attempt that was sent before its commit and cancelled also counted as the first attempt afterwards.

Change: each acceptance has an id of its own, which is part of the key of its attempts. Owners of an earlier version know no acceptances; a sidecar matches their keys with the latest attempt, so that a call that may run once does not run twice while versions follow each other. A cancelled early attempt is dropped.

--- a/packages/core/src/types/calls.ts
+++ b/packages/core/src/types/calls.ts
@@ -72,11 +72,25 @@
 export interface AttemptKey extends CallKey {
   readonly group: number;
   readonly attempt: number;
+  /**
+   * Id of the call's acceptance: a call that was withdrawn may be accepted again
+   * under its request id, and its attempts are numbered from 1 again. Missing in
+   * keys of earlier versions.
+   */
+  readonly acceptance?: string | undefined;
 }
 
 /** Formats an attempt key as text, for map keys and logs. */
 export function formatAttemptKey(key: AttemptKey): string {
-  return `${key.group}/${key.programId}/${key.requestId}/${key.attempt}`;
+  const { group, programId, requestId, attempt, acceptance } = key;
+  const text = `${group}/${programId}/${requestId}/${attempt}`;
+  return acceptance === undefined ? text : `${text}/${acceptance}`;
+}
+
+/** The key that earlier versions use, which all acceptances of a call share. */
+export function dropAcceptance(key: AttemptKey): AttemptKey {
+  const { acceptance: _acceptance, ...shared } = key;
+  return shared;
 }
 
 /** Returns true if the call may safely run more than once. */
--- a/packages/entry/src/callers/stream_follower.ts
+++ b/packages/entry/src/callers/stream_follower.ts
@@ -109,5 +109,6 @@
 export const DELIVERY_REPORT_TIMEOUT_MILLISECONDS = REPORT_TIMEOUT_MILLISECONDS;
 
 function isSameAttempt(left: AttemptKey, right: AttemptKey): boolean {
-  return left.attempt === right.attempt && left.requestId === right.requestId;
+  return left.attempt === right.attempt &&
+    left.requestId === right.requestId && left.acceptance === right.acceptance;
 }
--- a/packages/programs/src/call_commands.ts
+++ b/packages/programs/src/call_commands.ts
@@ -66,6 +66,7 @@
     state: CALL_STATES.WAITING,
     reservation,
     acceptedAt: command.now,
+    acceptance: command.acceptance,
     attempt: 0,
     target: undefined,
     turn: 0,
--- a/packages/programs/src/commands.ts
+++ b/packages/programs/src/commands.ts
@@ -24,6 +24,8 @@
   readonly programId: string;
   readonly outfit: string;
   readonly requestId: string;
+  /** Unique id of this acceptance; see `AttemptKey`. */
+  readonly acceptance?: string | undefined;
   readonly body: CallBody;
   /** Maximum number of open calls of the program. */
   readonly openLimit: number;
--- a/packages/programs/src/program_records.ts
+++ b/packages/programs/src/program_records.ts
@@ -39,6 +39,8 @@
   /** Tokens reserved from the budget; 0 once the call has ended. */
   reservation: number;
   readonly acceptedAt: number;
+  /** Id of the acceptance; undefined for a call that an earlier version accepted. */
+  readonly acceptance: string | undefined;
   /** Number of the latest attempt; 0 before the first. */
   attempt: number;
   target: AttemptTarget | undefined;
--- a/packages/replica/src/calls/call_acceptor.ts
+++ b/packages/replica/src/calls/call_acceptor.ts
@@ -3,6 +3,7 @@
  * idempotent call is sent while the commit is still in progress.
  */
 
+import { randomUUID } from "node:crypto";
 import {
   fail,
   isIdempotent,
@@ -65,23 +66,36 @@
     onEvent: (event: RunCallEvent) => void,
   ): Promise<Outcome<AcceptedCall>> {
     const { state } = this.#options;
-    const early = this.#startEarlyAttempt(request);
+    const acceptance = randomUUID();
+    const early = this.#startEarlyAttempt(request, acceptance);
     if (early !== undefined) onEvent(createEvent(early.plan, "dispatched"));
-    const accepted = await this.#commit(request, early?.plan.target);
-    if (accepted.err || accepted.val.attempt === 0) early?.cancel();
+    const accepted = await this.#commit(request, {
+      acceptance,
+      earlyTarget: early?.plan.target,
+    });
+    const isDispatched = accepted.ok && accepted.val.attempt > 0 &&
+      accepted.val.acceptance === acceptance;
+    if (!isDispatched) early?.cancel();
     if (accepted.err) return accepted;
     const program = state.find(request.programId);
     if (program === undefined) {
       return fail(RESULT_CODES.INTERNAL, "The program no longer exists");
     }
-    return Ok({ program, call: accepted.val, early });
+    return Ok({
+      program,
+      call: accepted.val,
+      early: isDispatched ? early : undefined,
+    });
   }
 
   /**
    * Starts the first attempt of an idempotent call before its commit, if no
    * other call of the program is open.
    */
-  #startEarlyAttempt(request: RunCallRequest): EarlyAttempt | undefined {
+  #startEarlyAttempt(
+    request: RunCallRequest,
+    acceptance: string,
+  ): EarlyAttempt | undefined {
     const { state, placement, group } = this.#options;
     const { programId, requestId, body, told } = request;
     const term = this.#options.getTerm();
@@ -100,6 +114,7 @@
       requestId,
       body,
       attempt: 1,
+      acceptance,
       target: target.val,
       told,
     });
@@ -121,8 +136,12 @@
 
   async #commit(
     request: RunCallRequest,
-    earlyTarget: AttemptTarget | undefined,
+    details: {
+      readonly acceptance: string;
+      readonly earlyTarget: AttemptTarget | undefined;
+    },
   ): Promise<Outcome<CallRecord>> {
+    const { acceptance, earlyTarget } = details;
     const { programId, outfit, requestId, body } = request;
     const found = earlyTarget === undefined
       ? await this.#findFirstTarget(request)
@@ -136,6 +155,7 @@
       programId,
       outfit,
       requestId,
+      acceptance,
       body,
       openLimit: this.#options.callsPerProgram,
       ...target === undefined ? {} : { target },
--- a/packages/replica/src/calls/call_runner.ts
+++ b/packages/replica/src/calls/call_runner.ts
@@ -304,7 +304,7 @@
   }
 
   #planAttempt(): AttemptPlan {
-    const { target, requestId, attempt } = this.#call;
+    const { target, requestId, attempt, acceptance } = this.#call;
     if (target === undefined) throw new Error("The call was not dispatched");
     const { group, term, placement } = this.#owner;
     return {
@@ -315,6 +315,7 @@
       requestId,
       body: this.#body,
       attempt,
+      acceptance,
       target,
       told: this.#deliveredText,
       signal: this.#cancelled.signal,
--- a/packages/replica/src/calls/dispatch.ts
+++ b/packages/replica/src/calls/dispatch.ts
@@ -35,6 +35,7 @@
   readonly requestId: string;
   readonly body: CallBody;
   readonly attempt: number;
+  readonly acceptance: string | undefined;
   readonly target: AttemptTarget;
   /** Text that the caller received from earlier attempts. */
   readonly told: string;
@@ -130,5 +131,6 @@
     programId: plan.program.programId,
     requestId: plan.requestId,
     attempt: plan.attempt,
+    ...(plan.acceptance === undefined ? {} : { acceptance: plan.acceptance }),
   };
 }
--- a/packages/sidecar/src/attempts/attempt_table.ts
+++ b/packages/sidecar/src/attempts/attempt_table.ts
@@ -9,6 +9,7 @@
   type AttemptState,
   countRefusal,
   type DispatchRequest,
+  dropAcceptance,
   fail,
   formatAttemptKey,
   isIdempotent,
@@ -41,6 +42,8 @@
 export class AttemptTable {
   readonly #options: AttemptTableOptions;
   readonly #attempts = new Map<string, Attempt>();
+  /** The latest attempts by the keys that owners of earlier versions use. */
+  readonly #latestAttempts = new Map<string, Attempt>();
   readonly #fence = new Fence();
   #draining = false;
 
@@ -88,7 +91,12 @@
 
   /** Returns a known attempt; undefined before its dispatch arrives and after its eviction. */
   find(key: AttemptKey): Attempt | undefined {
-    return this.#attempts.get(formatAttemptKey(key));
+    const attempt = this.#attempts.get(formatAttemptKey(key));
+    if (attempt !== undefined) return attempt;
+    const sharedKey = formatAttemptKey(dropAcceptance(key));
+    return key.acceptance === undefined
+      ? this.#latestAttempts.get(sharedKey)
+      : this.#attempts.get(sharedKey);
   }
 
   /**
@@ -147,6 +155,9 @@
     for (const [key, attempt] of this.#attempts) {
       if (attempt.endedAt < cutoff) this.#attempts.delete(key);
     }
+    for (const [key, attempt] of this.#latestAttempts) {
+      if (attempt.endedAt < cutoff) this.#latestAttempts.delete(key);
+    }
     this.#fence.evictBefore(cutoff);
   }
 
@@ -180,6 +191,7 @@
     }
     const attempt = new Attempt(request, now);
     this.#attempts.set(formatAttemptKey(key), attempt);
+    this.#latestAttempts.set(formatAttemptKey(dropAcceptance(key)), attempt);
     void this.#run(attempt);
     return Ok(attempt);
   }
--- a/packages/sidecar/src/attempts/fence.ts
+++ b/packages/sidecar/src/attempts/fence.ts
@@ -4,7 +4,11 @@
  * or cancelled.
  */
 
-import { type AttemptKey, formatAttemptKey } from "@mallowlift/core";
+import {
+  type AttemptKey,
+  dropAcceptance,
+  formatAttemptKey,
+} from "@mallowlift/core";
 
 /** Keeps the highest term of each group and the fenced attempts. */
 export class Fence {
@@ -28,9 +32,10 @@
     this.#fencedAt.set(formatAttemptKey(key), now);
   }
 
-  /** Returns true if the attempt must not run. */
+  /** Returns true if the attempt must not run; owners of earlier versions fence all acceptances. */
   isFenced(key: AttemptKey): boolean {
-    return this.#fencedAt.has(formatAttemptKey(key));
+    return this.#fencedAt.has(formatAttemptKey(key)) ||
+      this.#fencedAt.has(formatAttemptKey(dropAcceptance(key)));
   }
 
   /**
