The output of a turn may take a whole internal frame again

Cause: broke a turn off beyond 8 MiB of output, and that turn has some 13 MB, which fit into an internal frame (16 MiB by default) and were kept before. The bound is that frame now; a larger turn could not be kept at default settings either.

--- a/packages/gateway/src/calls/event_relay.ts
+++ b/packages/gateway/src/calls/event_relay.ts
@@ -15,8 +15,8 @@
 import type { EventSink } from "./attempt.ts";
 import type { TurnObserver } from "./turn_observer.ts";
 
-/** Largest output of a turn whose history is kept, bytes: half of a default frame. */
-const MAX_HISTORY_BYTES = 8_388_608;
+/** Largest output of a turn whose history is kept, bytes: the default size of an internal frame. */
+const MAX_HISTORY_BYTES = 16_777_216;
 
 /**
  * Relays only complete events, so that the caller never receives a truncated
