A stop amid a start also stops the child that is starting

A child that became ready after the stop had begun was left running, and the process ended with the requests that it had read. It is stopped now, and no further child is started. Tests of both, of the common end of all children, and of repeated signals (SIGTERM is ignored, a second SIGINT ends the process).

--- a/packages/boot/src/boot_daemon_test.ts
+++ b/packages/boot/src/boot_daemon_test.ts
@@ -46,6 +46,25 @@
   t.equal(exit, EXPECTED_EXIT_CODE);
 });
 
+// Guards against a repeated signal that ends the process amid its stop.
+test("a second SIGTERM does not end the process, a second SIGINT does", async (t) => {
+  const createScript = (signal: string) => `
+    const { bootDaemon } = require(${JSON.stringify(MODULE)});
+    void bootDaemon(() => ({ stopRequested }) => {
+      void stopRequested.then((requestedAt) => {
+        setImmediate(() => process.kill(process.pid, "${signal}"));
+        const isTime = requestedAt > 0 && requestedAt <= performance.now();
+        const code = isTime ? ${EXPECTED_EXIT_CODE} : ${TIMEOUT_EXIT_CODE};
+        setTimeout(() => process.exit(code), 500);
+      });
+      process.kill(process.pid, "${signal}");
+      setTimeout(() => process.exit(${TIMEOUT_EXIT_CODE}), 20_000);
+    });
+  `;
+  t.equal(await runScript(createScript("SIGTERM")), EXPECTED_EXIT_CODE);
+  t.equal(await runScript(createScript("SIGINT")), "SIGINT");
+});
+
 test("a port is opened only for the settings of a gateway", async (t) => {
   t.equal(await openCallersPort([]), undefined);
   t.equal(await openCallersPort(["--settings", "/no/such/file"]), undefined);
--- a/packages/core/src/supervisor/supervisor.ts
+++ b/packages/core/src/supervisor/supervisor.ts
@@ -61,6 +61,8 @@
   #restartTimes: number[] = [];
   /** When the children must have stopped; undefined until a stop begins. */
   #endAt: number | undefined;
+  /** Stops of children that had not started when the stop began. */
+  readonly #lateStops: Promise<void>[] = [];
 
   constructor(name: string, options: SupervisorOptions) {
     this.name = name;
@@ -104,13 +106,17 @@
       slot.child = undefined;
       if (child !== undefined) await child.stop(endAt);
     }
+    await Promise.all(this.#lateStops);
   }
 
   async #startSlot(slot: Slot): Promise<void> {
     if (this.#endAt !== undefined) return;
     const child = slot.factory();
     await child.start();
-    if (this.#endAt !== undefined) return await child.stop(this.#endAt);
+    if (this.#endAt !== undefined) {
+      this.#lateStops.push(child.stop(this.#endAt));
+      return;
+    }
     slot.child = child;
     this.#options.logger.debug("Child started", { child: child.name });
     // Reads the property once: a child may create a promise on each access, and
--- a/packages/core/src/supervisor/supervisor_test.ts
+++ b/packages/core/src/supervisor/supervisor_test.ts
@@ -78,3 +78,50 @@
   t.equal(reads, 1);
   await supervisor.stop(0);
 });
+
+// Guards against roles of one daemon that each count their own time to stop.
+test("all children learn the end of a stop before the first one stops", async (t) => {
+  const events: string[] = [];
+  const supervisor = new Supervisor("root", OPTIONS);
+  for (const name of ["first", "second"]) {
+    supervisor.add(() => ({
+      ...createChild(name, events),
+      prepareStop: (endAt) => events.push(`prepare ${name} ${endAt}`),
+      stop: (endAt) => Promise.resolve(void events.push(`${name} ${endAt}`)),
+    }));
+  }
+  await supervisor.start();
+  events.length = 0;
+  await supervisor.stop(7);
+  t.same(events, [
+    "prepare first 7",
+    "prepare second 7",
+    "second 7",
+    "first 7",
+  ]);
+});
+
+// Guards against a stop amid a start that leaves a child running, with the requests
+// that it has read.
+test("a child that starts amid a stop is stopped, and no other is started", async (t) => {
+  const events: string[] = [];
+  const begun = createDeferred<void>();
+  const started = createDeferred<void>();
+  const supervisor = new Supervisor("root", OPTIONS);
+  supervisor.add(() => createChild("ready", events));
+  supervisor.add(() => ({
+    ...createChild("slow", events),
+    start: () => {
+      begun.resolve(undefined);
+      return started.promise;
+    },
+  }));
+  supervisor.add(() => createChild("never", events));
+  const starting = supervisor.start();
+  await begun.promise;
+  const stopping = supervisor.stop(0);
+  started.resolve(undefined);
+  await starting;
+  await stopping;
+  t.same(events, ["start ready", "stop ready", "stop slow"]);
+});
