A stopping gateway takes only what it can finish, and answers the rest

What callers saw: requests that were read during a planned stop, or open when it ended, were passed on and then closed without an answer, among them requests that may not be repeated. No line or counter named them.

Cause: the gateway knew the end of its stop and the deadline of each request, and compared neither; at the end it destroyed every open connection. A refusal before the body was read closed its connection under the unread bytes.

Change: StopSchedule knows the end, and the time of the final answers 300 ms before it. A request that may not be repeated, or a stream, is admitted if its whole time ends before the final answers, a repeatable one if three times what its service usually takes fits; others get DRAINING with Retry-After 0.05 s, after their body was read and discarded. At the final answers open calls are aborted, which closes their upstream connections, and answered: DRAINING if nothing was sent, else OUTCOME_UNKNOWN; also those that wait for a store, for admission or for their body. Answers that have begun may last until the end. Each ended request has a log line, the stop has one with counts, and mallowlift_stop_ended_calls_total counts by outcome.

--- a/packages/bench/src/gateways/gateway_caller.ts
+++ b/packages/bench/src/gateways/gateway_caller.ts
@@ -1,6 +1,7 @@
 /** Calls a gateway in the native dialect, for tests. */
 
 import { type IncomingMessage, request } from "node:http";
+import type { Socket } from "node:net";
 
 /** A request of a caller. */
 export interface CallRequest {
@@ -8,6 +9,8 @@
   readonly path: string;
   readonly body?: string;
   readonly headers?: Readonly<Record<string, string>>;
+  /** Open connection to use; by default a new one. */
+  readonly connection?: Socket;
   /** Aborts the request before the answer is complete. */
   readonly signal?: AbortSignal;
 }
@@ -27,11 +30,12 @@
   readonly challenge?: string | undefined;
 }
 
-/** Makes one request on a new connection; never rejects, also if it fails. */
+/** Makes one request on a connection of its own; never rejects, also if it fails. */
 export function callGateway(
   url: string,
   call: CallRequest,
 ): Promise<CallResult> {
+  const { connection } = call;
   return new Promise((resolve) => {
     const noAnswer = {
       status: 0,
@@ -42,6 +46,9 @@
     const outgoing = request(`${url}${call.path}`, {
       method: "POST",
       agent: false,
+      ...(connection === undefined
+        ? {}
+        : { createConnection: () => connection }),
       signal: call.signal,
       headers: { host: "a.example", "x-call-id": call.callId, ...call.headers },
     }, (answer: IncomingMessage) => {
--- a/packages/bench/src/gateways/gateway_site.ts
+++ b/packages/bench/src/gateways/gateway_site.ts
@@ -56,6 +56,8 @@
   readonly gatewaySettings?: Readonly<Record<string, string | number>>;
   /** Time that a daemon has to stop, ms; 20,000 by default. */
   readonly stopMilliseconds?: number | undefined;
+  /** Roles of the gateways' daemons; only the gateway by default. */
+  readonly gatewayRoles?: string | undefined;
 }
 
 /** Gateways, and stores that read their instance list from a file. */
@@ -234,7 +236,7 @@
     const text = formatSettings({
       daemon: {
         name: daemon.name,
-        roles: isGateway ? "gateway" : "store",
+        roles: isGateway ? this.#plan.gatewayRoles ?? "gateway" : "store",
         failure_domain: findFailureDomain(number),
         health_listen: `127.0.0.1:${health}`,
         stop_milliseconds: this.#plan.stopMilliseconds ?? 20_000,
--- a/packages/bench/src/gateways/start_test_site.ts
+++ b/packages/bench/src/gateways/start_test_site.ts
@@ -26,6 +26,8 @@
   readonly gatewaySettings?: Readonly<Record<string, string | number>>;
   /** Time that a daemon has to stop, ms; 20,000 by default. */
   readonly stopMilliseconds?: number;
+  /** Roles of the gateways' daemons; only the gateway by default. */
+  readonly gatewayRoles?: string;
   /** Initial routing document; {@linkcode TEST_DOCUMENT} by default. */
   readonly document?: RoutingDocument;
 }
@@ -55,7 +57,7 @@
 ): Promise<TestSite> {
   const { gateways = 1, stores = 3, waitMilliseconds, proxied } = plan;
   const { maxFrameBytes, gatewaySettings, document = TEST_DOCUMENT } = plan;
-  const { preloadedByStores, stopMilliseconds } = plan;
+  const { preloadedByStores, stopMilliseconds, gatewayRoles } = plan;
   const upstreams = Array.from(
     { length: plan.upstreams ?? 1 },
     (_, index) => new OpaqueUpstream(`u-${index + 1}`),
@@ -81,6 +83,7 @@
       gatewaySettings,
       preloadedByStores,
       stopMilliseconds,
+      gatewayRoles,
     },
     document,
   );
--- a/packages/core/src/metrics/metrics.ts
+++ b/packages/core/src/metrics/metrics.ts
@@ -72,6 +72,7 @@
   readonly unreadBytes: Gauge;
   readonly unsentBytes: Gauge;
   readonly slowCallers: Counter<"reason">;
+  readonly stopEndedCalls: Counter<"outcome">;
 }
 
 /** Creates the metrics of a daemon in a registry of their own. */
@@ -284,6 +285,12 @@
       labelNames: ["reason"],
       registers,
     }),
+    stopEndedCalls: new Counter({
+      name: "mallowlift_stop_ended_calls_total",
+      help: "Calls that a planned stop refused or ended, by outcome",
+      labelNames: ["outcome"],
+      registers,
+    }),
     malformedFrames: new Counter({
       name: "mallowlift_malformed_frames_total",
       help: "Internal connections closed because of malformed frames",
--- a/packages/gateway/src/calls/open_call.ts
+++ b/packages/gateway/src/calls/open_call.ts
@@ -35,6 +35,8 @@
   TIMEOUT: "timeout",
   /** The caller closed its connection. */
   CALLER_LEFT: "left",
+  /** The gateway stops before the call has ended. */
+  STOPPING: "stopping",
 } as const;
 
 /** The request of a call and what the gateway has determined about it. */
@@ -66,6 +68,8 @@
   code: string;
   upstream: string;
   sends: number;
+  /** Sends after which an upstream may have run the call. */
+  possibleRuns: number;
   events: number;
   /** What arrived from the upstream of the last attempt. */
   received: ReceivedAnswer | undefined;
@@ -80,6 +84,7 @@
     code: "OK",
     upstream: "",
     sends: 0,
+    possibleRuns: 0,
     events: 0,
     received: undefined,
   };
@@ -168,6 +173,11 @@
     return this.parts.response.headersSent;
   }
 
+  /** True once the whole answer was handed to the connection. */
+  get hasEndedAnswer(): boolean {
+    return this.parts.response.writableEnded;
+  }
+
   /** True if there is a valid permit for the next send. */
   hasPermit(now: number): boolean {
     return now < this.#permitUntil;
@@ -193,6 +203,11 @@
     clearTimeout(this.#timer);
   }
 
+  /** Aborts the call because the gateway stops. */
+  endForStop(): void {
+    this.#controller.abort(ABORT_REASONS.STOPPING);
+  }
+
   /**
    * Lets the end of the connection mark the end of the answer. If that is what
    * marked it for the gateway, the answer may be truncated, and framing would
--- a/packages/gateway/src/calls/run_plain_call.ts
+++ b/packages/gateway/src/calls/run_plain_call.ts
@@ -41,10 +41,12 @@
 /** Sends a failure; destroys the connection if part of an answer was sent. */
 export function failCall(
   call: OpenCall,
-  parts: CallDependencies,
+  parts: Pick<CallDependencies, "dialect">,
   failure: CallFailure,
 ): void {
   const { error, notRun } = failure;
+  // A stop answers the calls that wait for a store.
+  if (call.hasEndedAnswer) return;
   call.recordFailure(error);
   if (call.hasCallerLeft) return;
   if (call.parts.response.headersSent) return call.disconnect();
--- a/packages/gateway/src/calls/send_call.ts
+++ b/packages/gateway/src/calls/send_call.ts
@@ -5,7 +5,6 @@
   type CodedError,
   countRetry,
   RESULT_CODES,
-  type ResultCode,
   sleep,
 } from "@mallowlift/core";
 import { isRepeatable, isResumable } from "../routing/repeatable.ts";
@@ -13,6 +12,7 @@
 import type { Upstream } from "../upstreams/upstream.ts";
 import type { CallDependencies, CallFailure } from "./call_dependencies.ts";
 import { isServerError } from "./classify_answer.ts";
+import { describeAbort } from "./describe_abort.ts";
 import { EarlierSends } from "./earlier_sends.ts";
 import type { OpenCall } from "./open_call.ts";
 import type { AttemptResult } from "./attempt.ts";
@@ -49,13 +49,13 @@
   parts: CallDependencies,
   options: SendOptions,
 ): Promise<SendResult> {
+  const { summary } = call;
   const { route, arrivedAt } = call.parts;
   const mayRepeat = isRepeatable(route);
   const tried = new Set<string>();
   const earlier = new EarlierSends();
   const offeredUntil = arrivedAt +
     OFFER_FRACTION * (call.deadlineAt - arrivedAt);
-  let possibleRuns = 0;
   let refusals = 0;
   let failedAnswer: SendResult | undefined;
   let lastError: CodedError = {
@@ -79,7 +79,7 @@
     }
     const upstream = chooseUpstream(call, parts, { options, tried, now });
     if (upstream === undefined) {
-      if (now > offeredUntil || possibleRuns > 0) break;
+      if (now > offeredUntil || summary.possibleRuns > 0) break;
       // An upstream that refused may be tried again after its backoff.
       tried.clear();
       await sleep(ALL_FULL_DELAY_MILLISECONDS, call.signal);
@@ -90,7 +90,8 @@
       lastError = refusal;
       break;
     }
-    const isLast = !mayRepeat || possibleRuns + 1 >= route.maxAttempts;
+    if (call.signal.aborted) break;
+    const isLast = !mayRepeat || summary.possibleRuns + 1 >= route.maxAttempts;
     const result = await parts.quarantine.observe(
       call,
       upstream,
@@ -124,8 +125,8 @@
       if (++refusals > MAX_REFUSED_ATTEMPTS && now > offeredUntil) break;
       continue;
     }
-    possibleRuns++;
-    if (!mayRepeat || possibleRuns >= route.maxAttempts) break;
+    summary.possibleRuns++;
+    if (!mayRepeat || summary.possibleRuns >= route.maxAttempts) break;
     // An answer that the caller has partly received can only be resumed.
     if (call.hasStartedAnswer && !canResume(call, options)) break;
   }
@@ -133,8 +134,9 @@
   // A later attempt may have begun to answer the caller.
   const isAnswerable = !call.hasCallerLeft && !call.hasStartedAnswer;
   if (failedAnswer !== undefined && isAnswerable) return failedAnswer;
-  if (call.signal.aborted) lastError = describeAbort(call, possibleRuns);
-  return { failure: { error: lastError, notRun: possibleRuns === 0 } };
+  if (call.signal.aborted) return { failure: describeAbort(call) };
+  const notRun = summary.possibleRuns === 0;
+  return { failure: { error: lastError, notRun } };
 }
 
 /** True unless the caller has received the beginning of another answer. */
@@ -190,15 +192,6 @@
   });
 }
 
-function describeAbort(call: OpenCall, possibleRuns: number): CodedError {
-  const code: ResultCode = call.hasCallerLeft
-    ? RESULT_CODES.CALLER_LEFT
-    : possibleRuns > 0
-    ? RESULT_CODES.CALL_TIMEOUT
-    : RESULT_CODES.NO_UPSTREAM;
-  return { code, message: code.meaning };
-}
-
 function chooseUpstream(
   call: OpenCall,
   parts: CallDependencies,
--- a/packages/gateway/src/gateway_role.ts
+++ b/packages/gateway/src/gateway_role.ts
@@ -198,6 +198,8 @@
       random,
       findListAge: (now) => this.#instanceLists.findAge(now),
       findDocumentAge: (now) => this.#follower.findConfirmationAge(now),
+      findUsualTime: (service, now) =>
+        this.#upstreams.findMedianTime(service, now),
       logger: logger.forPart("calls"),
       metrics,
     });
@@ -245,12 +247,17 @@
     );
   }
 
+  /** Refuses requests that cannot be finished before the end of the stop. */
+  prepareStop(endAt: number): void {
+    this.#callerServer.beginStop(endAt);
+  }
+
   /** Waits for open requests, then stops. */
   async stop(endAt: number): Promise<void> {
     const { drainMilliseconds } = this.#options.settings.gateway;
     await this.#callerServer.stop({
       minMilliseconds: drainMilliseconds,
-      maxMilliseconds: Math.max(0, endAt - performance.now()),
+      endAt,
     });
     await Promise.race([
       this.#operatorServer.stop({ timeout: 100 }),
--- a/packages/gateway/src/http/caller_server.ts
+++ b/packages/gateway/src/http/caller_server.ts
@@ -11,6 +11,7 @@
   type Server,
   type ServerResponse,
 } from "node:http";
+import type { Socket } from "node:net";
 import { performance } from "node:perf_hooks";
 import { HeldPort } from "@mallowlift/boot";
 import {
@@ -25,7 +26,7 @@
   sleep,
 } from "@mallowlift/core";
 import { parseAddress } from "@mallowlift/transport";
-import { Ok } from "ts-results";
+import { Err, Ok } from "ts-results";
 import { OpenCall } from "../calls/open_call.ts";
 import type { UnreadAnswers } from "../calls/unread_answers.ts";
 import type { CallerDialect } from "../dialect.ts";
@@ -37,7 +38,10 @@
   STALE_RETRY_MILLISECONDS,
 } from "../workspaces/key_admission.ts";
 import { WorkspaceFailures } from "../workspaces/workspace_failures.ts";
+import { CallerStop, type WaitingRequest } from "./caller_stop.ts";
+import { discardBody } from "./discard_body.ts";
 import { readBody } from "./read_body.ts";
+import { StopSchedule } from "./stop_schedule.ts";
 import { writeGatewayAnswer } from "./write_gateway_answer.ts";
 
 /**
@@ -83,6 +87,8 @@
    * newest, ms.
    */
   readonly findDocumentAge: (now: number) => number;
+  /** Time that a service usually takes, ms; 0 if it is not known. */
+  readonly findUsualTime: (service: string, now: number) => number;
   readonly logger: Logger;
   readonly metrics: Metrics;
 }
@@ -93,8 +99,12 @@
   readonly #server: Server;
   readonly #failures: WorkspaceFailures;
   readonly #openCalls = new Set<OpenCall>();
+  /** Requests that were read but not admitted yet. */
+  readonly #waiting = new Set<WaitingRequest>();
   #openRequests = 0;
+  #connections = 0;
   #isStopping = false;
+  #stop: CallerStop | undefined;
 
   constructor(options: CallerServerOptions) {
     this.#options = options;
@@ -103,6 +113,10 @@
       { maxHeaderSize: MAX_HEADER_BYTES, keepAlive: true, noDelay: true },
       (request, response) => void this.#serve(request, response),
     );
+    this.#server.on("connection", (socket: Socket) => {
+      this.#connections++;
+      socket.once("close", () => this.#connections--);
+    });
     this.#applyLimits(INITIAL_LIMITS);
   }
 
@@ -123,38 +137,54 @@
     return port;
   }
 
+  /**
+   * Announces a stop. Requests that cannot be finished before its end, by the
+   * local clock, ms, are refused from now on, and all that are unanswered
+   * shortly before it get a final answer.
+   */
+  beginStop(endAt: number): CallerStop {
+    if (this.#stop !== undefined) return this.#stop;
+    const now = performance.now();
+    const stop = new CallerStop(new StopSchedule(now, endAt), this.#options);
+    this.#isStopping = true;
+    this.#stop = stop;
+    setTimeout(
+      () =>
+        void stop.answerOpen(this.#openCalls, this.#waiting, performance.now()),
+      stop.schedule.answersAt - now,
+    );
+    return stop;
+  }
+
   /**
    * Keeps serving for the minimum time, in which the load balancer removes the
-   * gateway. Then it accepts no new requests, since it may not have the time to
-   * answer them, and waits for the open ones, up to the maximum time.
+   * gateway. Then it accepts no new connections, and waits for the open requests
+   * up to the end, by the local clock, ms.
    */
   async stop(times: {
     readonly minMilliseconds: number;
-    readonly maxMilliseconds: number;
+    readonly endAt: number;
   }): Promise<void> {
-    this.#isStopping = true;
-    const { maxMilliseconds } = times;
-    const drainMilliseconds = Math.min(times.minMilliseconds, maxMilliseconds);
-    const startedAt = performance.now();
-    const findElapsed = () => performance.now() - startedAt;
+    const stop = this.beginStop(times.endAt);
+    const { beganAt, endAt } = stop.schedule;
+    const closesAt = Math.min(beganAt + times.minMilliseconds, endAt);
     this.#server.closeIdleConnections();
-    while (findElapsed() < drainMilliseconds) {
-      await sleep(STOP_POLL_MILLISECONDS);
-    }
+    while (performance.now() < closesAt) await sleep(STOP_POLL_MILLISECONDS);
     let isClosed = false;
     this.#server.close(() => isClosed = true);
     let quietPolls = 0;
     while (
-      !isClosed && quietPolls < STOP_QUIET_POLLS &&
-      findElapsed() < maxMilliseconds
+      !isClosed && quietPolls < STOP_QUIET_POLLS && performance.now() < endAt
     ) {
       this.#server.closeIdleConnections();
       await sleep(STOP_POLL_MILLISECONDS);
       quietPolls = this.#openRequests > 0 ? 0 : quietPolls + 1;
     }
     // Nothing is awaited since the last check, so no open request is aborted here
-    // before the maximum time.
-    for (const call of this.#openCalls) call.disconnect();
+    // before the end.
+    const now = performance.now();
+    for (const call of this.#openCalls) stop.breakOff(call, now);
+    stop.logEnd(this.#connections, now);
     this.#server.closeAllConnections();
   }
 
@@ -168,8 +198,12 @@
     this.#openRequests++;
     response.once("close", () => this.#openRequests--);
     if (this.#isStopping) response.setHeader("Connection", "close");
-    const call = await this.#openCall({ request, response, arrivedAt });
-    if (call.err) return this.#refuse(request, response, call.val);
+    const waiting = { request, response, arrivedAt };
+    this.#waiting.add(waiting);
+    const call = await this.#openCall(waiting);
+    if (call.err) await this.#refuse(request, response, call.val);
+    this.#waiting.delete(waiting);
+    if (call.err) return;
     // A complete answer may still have to be sent when its call has ended.
     if (!response.closed) {
       this.#openCalls.add(call.val);
@@ -190,11 +224,7 @@
    * Admits a request before its body is read, and again afterwards with the
    * document in force then.
    */
-  async #openCall(parts: {
-    readonly request: IncomingMessage;
-    readonly response: ServerResponse;
-    readonly arrivedAt: number;
-  }): Promise<Outcome<OpenCall>> {
+  async #openCall(parts: WaitingRequest): Promise<Outcome<OpenCall>> {
     const { request } = parts;
     const { admission } = this.#options;
     const facts = describeRequest(request);
@@ -203,12 +233,17 @@
     // resumes after a pause requests it within milliseconds.
     const first = await admission.admit(facts);
     if (first.err) return first;
+    const early = this.#findStopRefusal(parts, first.val);
+    if (early !== undefined) return Err(early);
     const { limits } = first.val.table.document;
     this.#applyLimits(limits);
     const body = await readBody(request, limits.maxBodyBytes);
     if (body.err) return body;
     const admitted = await admission.admit(facts);
     if (admitted.err) return admitted;
+    const late = this.#findStopRefusal(parts, admitted.val);
+    if (late !== undefined) return Err(late);
+    this.#stop?.recordAccepted();
     return this.#createCall({
       ...parts,
       body: body.val,
@@ -216,6 +251,14 @@
     });
   }
 
+  /** Why a stop does not admit a request; undefined if it is admitted. */
+  #findStopRefusal(
+    parts: WaitingRequest,
+    admission: Admission,
+  ): CodedError | undefined {
+    return this.#stop?.findRefusal(parts, admission, performance.now());
+  }
+
   #createCall(parts: {
     readonly request: IncomingMessage;
     readonly response: ServerResponse;
@@ -258,11 +301,17 @@
     this.#server.keepAliveTimeout = limits.idleTimeoutMilliseconds;
   }
 
-  #refuse(
+  async #refuse(
     request: IncomingMessage,
     response: ServerResponse,
     error: CodedError,
-  ): void {
+  ): Promise<void> {
+    // The answer of a stopping gateway closes the connection.
+    const isTooLarge = error.code === RESULT_CODES.BODY_TOO_LARGE;
+    if (this.#isStopping && !isTooLarge) await discardBody(request);
+    // The end of a stop may have answered it.
+    if (response.writableEnded) return;
+    if (error.code === RESULT_CODES.DRAINING) this.#stop?.recordRefused();
     const { dialect, logger, metrics } = this.#options;
     countRefusal(metrics, "gateway", error.code);
     if (error.code === RESULT_CODES.CALLER_LEFT) return;
@@ -283,9 +332,7 @@
     // With other errors, the rest of the body is read and discarded: closing a
     // connection with unread bytes resets it, and the caller would lose the
     // answer.
-    if (error.code === RESULT_CODES.BODY_TOO_LARGE) {
-      response.setHeader("Connection", "close");
-    }
+    if (isTooLarge) response.setHeader("Connection", "close");
     writeGatewayAnswer(response, dialect.writeFailure(error));
   }
 
--- a/packages/mocks/src/opaque/opaque_upstream.ts
+++ b/packages/mocks/src/opaque/opaque_upstream.ts
@@ -22,6 +22,9 @@
 /** Character code of "a"; each part repeats one letter, starting with "a". */
 const FIRST_LETTER_CODE = 97;
 
+/** Part of a target that sets how long its request takes, ms. */
+const WORK_PATTERN = /[?&]work=(\d+)/;
+
 /** Time from reading a request that ends the upstream to its end, ms. */
 const END_DELAY_MILLISECONDS = 5;
 
@@ -69,7 +72,8 @@
 
 /**
  * A fake upstream. It answers with a stream if the path contains "stream", and
- * with a body of 20 MiB if it contains "large".
+ * with a body of 20 MiB if it contains "large". A query such as `work=300` sets
+ * the time until it answers, ms.
  */
 export class OpaqueUpstream {
   readonly id: string;
@@ -182,6 +186,8 @@
     if (this.faults.silentMilliseconds > 0) {
       await sleep(this.faults.silentMilliseconds);
     }
+    const work = Number(WORK_PATTERN.exec(target)?.[1] ?? 0);
+    if (work > 0) await sleep(work);
     if (target.includes("large")) return await this.#sendLargeAnswer(response);
     const last = Number(request.headers["last-event-id"] ?? 0);
     if (target.includes("stream")) await this.#stream(body, response, last);
