Gateways run the requests of a connection one after another

What callers saw: of three requests sent ahead on one connection, a stopping gateway ran all three and answered one; the same behind an answer without framing. A malformed request behind others was answered at once with a 400, which its caller takes for the answer of the first one, which runs. Requests that were read behind a running one stayed in the count of open requests when their caller disconnected, so that max_requests was used up for good.

Cause: Node emits each request when its head is read and orders only the answers. An answer with Connection: close, or an error of its parser, ends the connection with all that is open on it, and answers whose turn has not come are never closed.

Change: OrderedServer, an HTTP server that emits a request when the answer before it has been sent and the connection goes on. A stopping server sets Connection: close when a head is written, and only if nothing was read behind it. Requests behind the end of a connection never run; a counter and a log line tell how many. From 16 waiting requests on, a connection is not read. What cannot be parsed does not answer the requests before it. Connections with an answer that is written and not sent are not idle in a stop. The operator server uses it too, so changes sent ahead are applied in their order.

Failed try: to keep the connection after a 413 whose body was read to its end. The gateway cannot tell when it answers, as the rest of the body arrives later in the same read; the requests behind it do not run.

--- a/packages/core/src/metrics/metrics.ts
+++ b/packages/core/src/metrics/metrics.ts
@@ -72,6 +72,7 @@
   readonly unreadBytes: Gauge;
   readonly unsentBytes: Gauge;
   readonly slowCallers: Counter<"reason">;
+  readonly requestsLeftBehind: Counter<"part" | "reason">;
 }
 
 /** Creates the metrics of a daemon in a registry of their own. */
@@ -284,6 +285,13 @@
       labelNames: ["reason"],
       registers,
     }),
+    requestsLeftBehind: new Counter({
+      name: "mallowlift_requests_left_behind_total",
+      help:
+        "Requests that were not run because their connection ended, by reason",
+      labelNames: ["part", "reason"],
+      registers,
+    }),
     malformedFrames: new Counter({
       name: "mallowlift_malformed_frames_total",
       help: "Internal connections closed because of malformed frames",
--- a/packages/core/src/mod.ts
+++ b/packages/core/src/mod.ts
@@ -21,3 +21,6 @@
 export * from "./logs/log_rate_limiter.ts";
 export * from "./metrics/metrics.ts";
 export * from "./supervisor/supervisor.ts";
+export * from "./http/ordered_connection.ts";
+export * from "./http/ordered_response.ts";
+export * from "./http/ordered_server.ts";
--- a/packages/gateway/src/gateway_role.ts
+++ b/packages/gateway/src/gateway_role.ts
@@ -11,6 +11,7 @@
   type Child,
   type Logger,
   type Metrics,
+  OrderedServer,
   ROLES,
   type Settings,
   sleep,
@@ -56,6 +57,8 @@
  * Time reserved for the last steps of a stop before the process is killed, ms.
  */
 const KILL_MARGIN_MILLISECONDS = 1_200;
+/** Time that open requests of operators get at a stop, ms. */
+const OPERATOR_STOP_MILLISECONDS = 100;
 
 /** Options of {@linkcode GatewayRole}. */
 export interface GatewayRoleOptions {
@@ -84,6 +87,7 @@
   readonly #upstreams: UpstreamTable;
   readonly #admission: KeyAdmission;
   readonly #callerServer: CallerServer;
+  readonly #operatorListener: OrderedServer;
   readonly #operatorServer: Server;
   readonly #parts: TurnDependencies;
   readonly #unread: UnreadAnswers<OpenCall>;
@@ -205,7 +209,13 @@
       logger: logger.forPart("calls"),
       metrics,
     });
+    this.#operatorListener = new OrderedServer({
+      part: "operators",
+      logger: logger.forPart("operators"),
+      metrics,
+    });
     this.#operatorServer = createOperatorServer({
+      listener: this.#operatorListener,
       listen: gateway.operatorsListen,
       dialect: options.operatorDialect,
       actions: new SiteOperations(client, settings.network.maxFrameBytes),
@@ -260,6 +270,7 @@
         ? Math.min(daemon.stopMilliseconds, killMilliseconds)
         : daemon.stopMilliseconds,
     });
+    await this.#operatorListener.closeAnswered(OPERATOR_STOP_MILLISECONDS);
     await Promise.race([
       this.#operatorServer.stop({ timeout: 100 }),
       sleep(200),
--- a/packages/gateway/src/http/caller_server.ts
+++ b/packages/gateway/src/http/caller_server.ts
@@ -5,12 +5,7 @@
  */
 
 import type { Buffer } from "node:buffer";
-import {
-  createServer,
-  type IncomingMessage,
-  type Server,
-  type ServerResponse,
-} from "node:http";
+import type { IncomingMessage, ServerResponse } from "node:http";
 import { performance } from "node:perf_hooks";
 import { HeldPort } from "@mallowlift/boot";
 import {
@@ -19,6 +14,8 @@
   fail,
   type Logger,
   type Metrics,
+  OrderedResponse,
+  OrderedServer,
   type Outcome,
   RESULT_CODES,
   type RoutingLimits,
@@ -90,19 +87,24 @@
 /** HTTP server of a gateway for its callers. */
 export class CallerServer {
   readonly #options: CallerServerOptions;
-  readonly #server: Server;
+  readonly #server: OrderedServer;
   readonly #failures: WorkspaceFailures;
   readonly #openCalls = new Set<OpenCall>();
-  #openRequests = 0;
-  #isStopping = false;
 
   constructor(options: CallerServerOptions) {
     this.#options = options;
     this.#failures = new WorkspaceFailures(options.metrics);
-    this.#server = createServer(
-      { maxHeaderSize: MAX_HEADER_BYTES, keepAlive: true, noDelay: true },
-      (request, response) => void this.#serve(request, response),
-    );
+    this.#server = new OrderedServer({
+      part: "gateway",
+      http: { maxHeaderSize: MAX_HEADER_BYTES, keepAlive: true, noDelay: true },
+      logger: options.logger,
+      metrics: options.metrics,
+    });
+    this.#server.on("request", (request, response) => {
+      if (response instanceof OrderedResponse) {
+        void this.#serve(request, response);
+      }
+    });
     this.#applyLimits(INITIAL_LIMITS);
   }
 
@@ -132,7 +134,7 @@
     readonly minMilliseconds: number;
     readonly maxMilliseconds: number;
   }): Promise<void> {
-    this.#isStopping = true;
+    this.#server.endConnections();
     const { maxMilliseconds } = times;
     const drainMilliseconds = Math.min(times.minMilliseconds, maxMilliseconds);
     const startedAt = performance.now();
@@ -150,7 +152,7 @@
     ) {
       this.#server.closeIdleConnections();
       await sleep(STOP_POLL_MILLISECONDS);
-      quietPolls = this.#openRequests > 0 ? 0 : quietPolls + 1;
+      quietPolls = this.#server.openRequests > 0 ? 0 : quietPolls + 1;
     }
     // Nothing is awaited since the last check, so no open request is aborted here
     // before the maximum time.
@@ -160,14 +162,11 @@
 
   async #serve(
     request: IncomingMessage,
-    response: ServerResponse,
+    response: OrderedResponse,
   ): Promise<void> {
-    const arrivedAt = performance.now();
+    const { arrivedAt } = response;
     response.sendDate = false;
     response.on("error", () => response.destroy());
-    this.#openRequests++;
-    response.once("close", () => this.#openRequests--);
-    if (this.#isStopping) response.setHeader("Connection", "close");
     const call = await this.#openCall({ request, response, arrivedAt });
     if (call.err) return this.#refuse(request, response, call.val);
     // A complete answer may still have to be sent when its call has ended.
@@ -225,7 +224,7 @@
   }): Outcome<OpenCall> {
     const { request, response, arrivedAt, body, admission } = parts;
     const { dialect, random, maxRequests } = this.#options;
-    if (this.#openRequests > maxRequests) {
+    if (this.#server.openRequests > maxRequests) {
       return fail(
         RESULT_CODES.OVERLOADED,
         RESULT_CODES.OVERLOADED.meaning,
--- a/packages/gateway/src/operators/operator_server.ts
+++ b/packages/gateway/src/operators/operator_server.ts
@@ -7,6 +7,7 @@
   type DocumentAck,
   type DocumentSource,
   fail,
+  type OrderedServer,
   type Outcome,
   RESULT_CODES,
   type RetirementStatus,
@@ -101,9 +102,12 @@
   readonly listen: string;
   readonly dialect: OperatorDialect;
   readonly actions: OperatorActions;
+  /** Accepts the connections. */
+  readonly listener: OrderedServer;
 }): Server {
   const { host, port } = parseAddress(options.listen);
-  const server = new Server({ host, port, compression: false });
+  const { listener } = options;
+  const server = new Server({ host, port, listener, compression: false });
   options.dialect.addRoutes(server, options.actions);
   return server;
 }
