Entries run the requests of a connection one after another

What callers saw: a stopping entry ended the connection with the first answer; of three requests that had been read, one was answered.

Cause: the framework sets Connection: close on each answer of a stop and ends the connection when an answer was sent.

Change: entries accept connections with OrderedServer, and answer all that was read on them before the framework is stopped.

--- a/packages/entry/src/entry_role.ts
+++ b/packages/entry/src/entry_role.ts
@@ -8,6 +8,7 @@
   findProgramGroup,
   type Logger,
   type Metrics,
+  OrderedServer,
   type Settings,
 } from "@mallowlift/core";
 import { parseAddress, type PeerLinks } from "@mallowlift/transport";
@@ -37,6 +38,7 @@
   readonly #options: EntryRoleOptions;
   readonly #logger: Logger;
   readonly #follower: ConfigurationFollower;
+  readonly #listener: OrderedServer;
   readonly #server: Server;
   #draining = false;
 
@@ -74,9 +76,11 @@
     };
     const { host, port } = parseAddress(entry.httpListen);
     const { maxBodyBytes } = entry;
+    this.#listener = new OrderedServer({ part: "entry", logger, metrics });
     this.#server = createHttpServer({
       host,
       port,
+      listener: this.#listener,
       maxBodyBytes,
       logger,
       metrics,
@@ -112,7 +116,9 @@
   async stop(): Promise<void> {
     this.#draining = true;
     const timeout = this.#options.settings.daemon.stopMilliseconds;
-    await this.#server.stop({ timeout });
+    // The framework itself would end a connection behind the next answer.
+    await this.#listener.closeAnswered(timeout);
+    await this.#server.stop({ timeout: 0 });
     this.#follower.stop();
   }
 }
--- a/packages/entry/src/http/create_server.ts
+++ b/packages/entry/src/http/create_server.ts
@@ -6,6 +6,7 @@
   countRefusal,
   type Logger,
   type Metrics,
+  type OrderedServer,
   RESULT_CODES,
   type ResultCode,
 } from "@mallowlift/core";
@@ -22,6 +23,7 @@
 export interface HttpServerOptions {
   readonly host: string;
   readonly port: number;
+  readonly listener: OrderedServer;
   readonly maxBodyBytes: number;
   readonly logger: Logger;
   readonly metrics: Metrics;
@@ -38,6 +40,7 @@
   const server = new Server({
     host: options.host,
     port: options.port,
+    listener: options.listener,
     compression: false,
     routes: {
       payload: {
