--- a/packages/core/src/metrics/metrics.ts
+++ b/packages/core/src/metrics/metrics.ts
@@ -73,6 +73,7 @@
   readonly unsentBytes: Gauge;
   readonly slowCallers: Counter<"reason">;
   readonly stopEndedCalls: Counter<"outcome">;
+  readonly requestsLeftBehind: Counter<"part" | "reason">;
 }
 
 /** Creates the metrics of a daemon in a registry of their own. */
@@ -291,6 +292,13 @@
       labelNames: ["outcome"],
       registers,
     }),
+    requestsLeftBehind: new Counter({
+      name: "mallowlift_requests_left_behind_total",
+      help:
+        "Requests that were not run because their connection ended, by reason",
+      labelNames: ["part", "reason"],
+      registers,
+    }),
     malformedFrames: new Counter({
       name: "mallowlift_malformed_frames_total",
       help: "Internal connections closed because of malformed frames",
--- a/packages/entry/src/entry_role.ts
+++ b/packages/entry/src/entry_role.ts
@@ -8,6 +8,7 @@
   findProgramGroup,
   type Logger,
   type Metrics,
+  OrderedServer,
   type Settings,
 } from "@mallowlift/core";
 import { parseAddress, type PeerLinks } from "@mallowlift/transport";
@@ -37,6 +38,7 @@
   readonly #options: EntryRoleOptions;
   readonly #logger: Logger;
   readonly #follower: ConfigurationFollower;
+  readonly #listener: OrderedServer;
   readonly #server: Server;
   #draining = false;
 
@@ -74,9 +76,11 @@
     };
     const { host, port } = parseAddress(entry.httpListen);
     const { maxBodyBytes } = entry;
+    this.#listener = new OrderedServer({ part: "entry", logger, metrics });
     this.#server = createHttpServer({
       host,
       port,
+      listener: this.#listener,
       maxBodyBytes,
       logger,
       metrics,
@@ -111,8 +115,11 @@
   /** Rejects new requests and waits for those in flight, up to a timeout. */
   async stop(endAt: number): Promise<void> {
     this.#draining = true;
-    const timeout = Math.max(0, endAt - performance.now());
-    await this.#server.stop({ timeout });
+    // The framework itself would end a connection behind the next answer.
+    await this.#listener.closeAnswered(
+      Math.max(0, endAt - performance.now()),
+    );
+    await this.#server.stop({ timeout: 0 });
     this.#follower.stop();
   }
 }
--- a/packages/gateway/src/gateway_role.ts
+++ b/packages/gateway/src/gateway_role.ts
@@ -11,6 +11,7 @@
   type Child,
   type Logger,
   type Metrics,
+  OrderedServer,
   ROLES,
   type Settings,
   sleep,
@@ -52,6 +53,8 @@
 const CLEANUP_INTERVAL_MILLISECONDS = 250;
 /** Largest age of a gateway's last heartbeat at which it is counted. */
 const MAX_HEARTBEAT_AGE_MILLISECONDS = 5_000;
+/** Time that open requests of operators get at a stop, ms. */
+const OPERATOR_STOP_MILLISECONDS = 100;
 
 /** Options of {@linkcode GatewayRole}. */
 export interface GatewayRoleOptions {
@@ -80,6 +83,7 @@
   readonly #upstreams: UpstreamTable;
   readonly #admission: KeyAdmission;
   readonly #callerServer: CallerServer;
+  readonly #operatorListener: OrderedServer;
   readonly #operatorServer: Server;
   readonly #parts: TurnDependencies;
   readonly #unread: UnreadAnswers<OpenCall>;
@@ -203,7 +207,13 @@
       logger: logger.forPart("calls"),
       metrics,
     });
+    this.#operatorListener = new OrderedServer({
+      part: "operators",
+      logger: logger.forPart("operators"),
+      metrics,
+    });
     this.#operatorServer = createOperatorServer({
+      listener: this.#operatorListener,
       listen: gateway.operatorsListen,
       dialect: options.operatorDialect,
       actions: new SiteOperations(client, settings.network.maxFrameBytes),
@@ -259,6 +269,7 @@
       minMilliseconds: drainMilliseconds,
       endAt,
     });
+    await this.#operatorListener.closeAnswered(OPERATOR_STOP_MILLISECONDS);
     await Promise.race([
       this.#operatorServer.stop({ timeout: 100 }),
       sleep(200),
--- a/packages/gateway/src/http/caller_server.ts
+++ b/packages/gateway/src/http/caller_server.ts
@@ -5,12 +5,7 @@
  */
 
 import type { Buffer } from "node:buffer";
-import {
-  createServer,
-  type IncomingMessage,
-  type Server,
-  type ServerResponse,
-} from "node:http";
+import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import { performance } from "node:perf_hooks";
 import { HeldPort } from "@mallowlift/boot";
@@ -20,6 +15,8 @@
   fail,
   type Logger,
   type Metrics,
+  OrderedResponse,
+  OrderedServer,
   type Outcome,
   RESULT_CODES,
   type RoutingLimits,
@@ -96,23 +93,28 @@
 /** HTTP server of a gateway for its callers. */
 export class CallerServer {
   readonly #options: CallerServerOptions;
-  readonly #server: Server;
+  readonly #server: OrderedServer;
   readonly #failures: WorkspaceFailures;
   readonly #openCalls = new Set<OpenCall>();
   /** Requests that were read but not admitted yet. */
   readonly #waiting = new Set<WaitingRequest>();
-  #openRequests = 0;
   #connections = 0;
-  #isStopping = false;
   #stop: CallerStop | undefined;
 
   constructor(options: CallerServerOptions) {
     this.#options = options;
     this.#failures = new WorkspaceFailures(options.metrics);
-    this.#server = createServer(
-      { maxHeaderSize: MAX_HEADER_BYTES, keepAlive: true, noDelay: true },
-      (request, response) => void this.#serve(request, response),
-    );
+    this.#server = new OrderedServer({
+      part: "gateway",
+      http: { maxHeaderSize: MAX_HEADER_BYTES, keepAlive: true, noDelay: true },
+      logger: options.logger,
+      metrics: options.metrics,
+    });
+    this.#server.on("request", (request, response) => {
+      if (response instanceof OrderedResponse) {
+        void this.#serve(request, response);
+      }
+    });
     this.#server.on("connection", (socket: Socket) => {
       this.#connections++;
       socket.once("close", () => this.#connections--);
@@ -146,8 +148,8 @@
     if (this.#stop !== undefined) return this.#stop;
     const now = performance.now();
     const stop = new CallerStop(new StopSchedule(now, endAt), this.#options);
-    this.#isStopping = true;
     this.#stop = stop;
+    this.#server.endConnections();
     setTimeout(
       () =>
         void stop.answerOpen(this.#openCalls, this.#waiting, performance.now()),
@@ -178,7 +180,7 @@
     ) {
       this.#server.closeIdleConnections();
       await sleep(STOP_POLL_MILLISECONDS);
-      quietPolls = this.#openRequests > 0 ? 0 : quietPolls + 1;
+      quietPolls = this.#server.openRequests > 0 ? 0 : quietPolls + 1;
     }
     // Nothing is awaited since the last check, so no open request is aborted here
     // before the end.
@@ -190,14 +192,11 @@
 
   async #serve(
     request: IncomingMessage,
-    response: ServerResponse,
+    response: OrderedResponse,
   ): Promise<void> {
-    const arrivedAt = performance.now();
+    const { arrivedAt } = response;
     response.sendDate = false;
     response.on("error", () => response.destroy());
-    this.#openRequests++;
-    response.once("close", () => this.#openRequests--);
-    if (this.#isStopping) response.setHeader("Connection", "close");
     const waiting = { request, response, arrivedAt };
     this.#waiting.add(waiting);
     const call = await this.#openCall(waiting);
@@ -268,7 +267,7 @@
   }): Outcome<OpenCall> {
     const { request, response, arrivedAt, body, admission } = parts;
     const { dialect, random, maxRequests } = this.#options;
-    if (this.#openRequests > maxRequests) {
+    if (this.#server.openRequests > maxRequests) {
       return fail(
         RESULT_CODES.OVERLOADED,
         RESULT_CODES.OVERLOADED.meaning,
@@ -308,7 +307,7 @@
   ): Promise<void> {
     // The answer of a stopping gateway closes the connection.
     const isTooLarge = error.code === RESULT_CODES.BODY_TOO_LARGE;
-    if (this.#isStopping && !isTooLarge) await discardBody(request);
+    if (this.#stop !== undefined && !isTooLarge) await discardBody(request);
     // The end of a stop may have answered it.
     if (response.writableEnded) return;
     if (error.code === RESULT_CODES.DRAINING) this.#stop?.recordRefused();
