The bytes of requests and kept answers of a gateway are bounded by settings

Callers with large bodies brought a gateway to 899 MB: max_requests bounds requests, not bytes. Instances have 200 to 350 MB, so the process was killed with all its open requests.

Cause: each body was kept in parts, joined, and joined once more behind its head; a joined prompt was a further copy; answers up to 1 MiB and the outputs of turns had no bound on their sum; a body could arrive as slowly as its caller liked; and an idle connection to an upstream kept the last request and answer it had carried.

Change: ByteAccount counts what requests hold (request_total_bytes) and what answers and outputs hold (answer_total_bytes). A request reserves its declared length before its body is read; one without room gets 503 REQUESTS_FULL at once, with a time to come back that follows the rate at which room becomes free. Room is divided between workspaces, and between small and large bodies. A body is read into one buffer and written behind its head without a copy. A joined prompt is reserved with its request; without room the turn is settled and refused. A body that stalls, or has not arrived by the timeout of its caller or route, gets 408 BODY_TIMEOUT. An answer without room is forwarded as it arrives. What is left of a refused body is discarded within bounds, and the answer is not lost by it.

open_call_test and run_attempt_test only pass the new options.

--- a/packages/bench/src/gateways/gateway_caller.ts
+++ b/packages/bench/src/gateways/gateway_caller.ts
@@ -6,7 +6,7 @@
 export interface CallRequest {
   readonly callId: string;
   readonly path: string;
-  readonly body?: string;
+  readonly body?: string | Uint8Array;
   readonly headers?: Readonly<Record<string, string>>;
   /** Aborts the request before the answer is complete. */
   readonly signal?: AbortSignal;
--- a/packages/bench/src/gateways/gateway_site.ts
+++ b/packages/bench/src/gateways/gateway_site.ts
@@ -51,7 +51,7 @@
   /** Path of a module that stores load before their own code. */
   readonly preloadedByStores?: string;
   /** Options of Node.js for all daemons. */
-  readonly nodeOptions?: readonly string[];
+  readonly nodeOptions?: readonly string[] | undefined;
   /** Additional keys of the gateways' settings. */
   readonly gatewaySettings?: Readonly<Record<string, string | number>>;
   /** Time that a daemon has to stop, ms; 20,000 by default. */
--- a/packages/bench/src/gateways/start_test_site.ts
+++ b/packages/bench/src/gateways/start_test_site.ts
@@ -20,6 +20,8 @@
   readonly proxied?: boolean;
   /** Largest internal frame, bytes; by default that of the settings schema. */
   readonly maxFrameBytes?: number;
+  /** Options of Node.js for all daemons. */
+  readonly nodeOptions?: readonly string[];
   /** Path of a module that stores load before their own code. */
   readonly preloadedByStores?: string;
   /** Additional keys of the gateways' settings. */
@@ -55,7 +57,7 @@
 ): Promise<TestSite> {
   const { gateways = 1, stores = 3, waitMilliseconds, proxied } = plan;
   const { maxFrameBytes, gatewaySettings, document = TEST_DOCUMENT } = plan;
-  const { preloadedByStores, stopMilliseconds } = plan;
+  const { preloadedByStores, stopMilliseconds, nodeOptions } = plan;
   const upstreams = Array.from(
     { length: plan.upstreams ?? 1 },
     (_, index) => new OpaqueUpstream(`u-${index + 1}`),
@@ -80,6 +82,7 @@
       maxFrameBytes,
       gatewaySettings,
       preloadedByStores,
+      nodeOptions,
       stopMilliseconds,
     },
     document,
--- a/packages/core/src/metrics/metrics.ts
+++ b/packages/core/src/metrics/metrics.ts
@@ -71,6 +71,8 @@
   readonly silentConnections: Counter;
   readonly unreadBytes: Gauge;
   readonly unsentBytes: Gauge;
+  readonly requestBytes: Gauge;
+  readonly answerBytes: Gauge;
   readonly slowCallers: Counter<"reason">;
 }
 
@@ -278,6 +280,16 @@
       help: "Bytes of requests that upstreams have not read yet",
       registers,
     }),
+    requestBytes: new Gauge({
+      name: "mallowlift_held_request_bytes",
+      help: "Memory reserved for the bodies and joined prompts of requests",
+      registers,
+    }),
+    answerBytes: new Gauge({
+      name: "mallowlift_held_answer_bytes",
+      help: "Memory reserved for answers and for the outputs of turns",
+      registers,
+    }),
     slowCallers: new Counter({
       name: "mallowlift_slow_callers_total",
       help: "Calls that were ended because of unread bytes, by reason",
--- a/packages/core/src/result/result_codes.ts
+++ b/packages/core/src/result/result_codes.ts
@@ -110,6 +110,11 @@
     notRun: true,
     meaning: "Too few stores would remain.",
   }),
+  BODY_TIMEOUT: defineCode(1016, "BODY_TIMEOUT", {
+    httpStatus: 408,
+    notRun: true,
+    meaning: "The body did not arrive in time.",
+  }),
   QUEUE_FULL: defineCode(2001, "QUEUE_FULL", {
     httpStatus: 503,
     notRun: true,
@@ -197,6 +202,11 @@
     meaning:
       "Several upstreams ended while they ran this request, so it is not sent for now.",
   }),
+  REQUESTS_FULL: defineCode(2018, "REQUESTS_FULL", {
+    httpStatus: 503,
+    notRun: true,
+    meaning: "The gateway has no room for the bytes of this request for now.",
+  }),
   OUTCOME_UNKNOWN: defineCode(3001, "OUTCOME_UNKNOWN", {
     httpStatus: 502,
     notRun: false,
--- a/packages/core/src/settings/schema.ts
+++ b/packages/core/src/settings/schema.ts
@@ -348,6 +348,18 @@
       min: 1,
       max: 1_000_000,
     }),
+    requestTotalBytes: numberField(
+      "Memory for the bodies and the joined prompts of all requests; one without room is refused.",
+      { fallback: 33_554_432, min: 1_048_576, max: 4_294_967_296 },
+    ),
+    answerTotalBytes: numberField(
+      "Memory for answers that are read to their end before they are sent, and for the outputs of turns.",
+      { fallback: 16_777_216, min: 1_048_576, max: 4_294_967_296 },
+    ),
+    bodyStallMilliseconds: numberField(
+      "Time without any byte of a body after which its request is refused.",
+      { fallback: 5_000, min: 100, max: 3_600_000 },
+    ),
     drainMilliseconds: numberField(
       "Minimum time that a planned stop continues to accept requests.",
       { fallback: 2_500, min: 0, max: 60_000 },
--- a/packages/core/src/shared/byte_collector.ts
+++ b/packages/core/src/shared/byte_collector.ts
@@ -30,18 +30,25 @@
     return this.#buffer.subarray(0, this.#length);
   }
 
+  /** The memory that it takes once this many more bytes are added. */
+  findCapacity(addedBytes: number): number {
+    const length = this.#length + addedBytes;
+    const { length: capacity } = this.#buffer;
+    if (length <= capacity) return capacity;
+    return Math.max(MIN_CAPACITY_BYTES, length, 2 * capacity);
+  }
+
+  /** Makes room for this many bytes in all, so that adding them copies nothing else. */
+  reserve(bytes: number): void {
+    if (bytes > this.#buffer.length) this.#grow(bytes);
+  }
+
   /** Adds a copy of the bytes. */
   push(bytes: Buffer): void {
-    const length = this.#length + bytes.length;
-    if (length > this.#buffer.length) {
-      const grown = Buffer.allocUnsafeSlow(
-        Math.max(MIN_CAPACITY_BYTES, length, 2 * this.#buffer.length),
-      );
-      this.#buffer.copy(grown, 0, 0, this.#length);
-      this.#buffer = grown;
-    }
+    const capacity = this.findCapacity(bytes.length);
+    if (capacity > this.#buffer.length) this.#grow(capacity);
     bytes.copy(this.#buffer, this.#length);
-    this.#length = length;
+    this.#length += bytes.length;
   }
 
   /** Releases the collected bytes. */
@@ -49,4 +56,10 @@
     this.#buffer = Buffer.alloc(0);
     this.#length = 0;
   }
+
+  #grow(capacity: number): void {
+    const grown = Buffer.allocUnsafeSlow(capacity);
+    this.#buffer.copy(grown, 0, 0, this.#length);
+    this.#buffer = grown;
+  }
 }
--- a/packages/gateway/src/calls/attempt.ts
+++ b/packages/gateway/src/calls/attempt.ts
@@ -3,6 +3,7 @@
 import type { Buffer } from "node:buffer";
 import type { CodedError } from "@mallowlift/core";
 import type { AnswerHead, CallerDialect } from "../dialect.ts";
+import type { ByteReservation } from "../memory/byte_account.ts";
 import type {
   AnswerFraming,
   ReceivedAnswer,
@@ -47,6 +48,8 @@
   start(head: AnswerHead): void;
   /** Returns false if the stream is longer than the call allows. */
   push(bytes: Buffer): boolean;
+  /** True if this gateway, and not the upstream, ends the stream. */
+  readonly lacksRoom: boolean;
   /** How far the stream of this attempt has come. */
   readonly progress: StreamProgress;
   /** Called when the stream is complete. */
@@ -90,6 +93,8 @@
   readonly events?: EventSink;
   readonly body: BodySink;
   readonly flow: FlowControl;
+  /** Opens a reservation for the answer as it is buffered. */
+  readonly openAnswer: () => ByteReservation;
   /** Request bytes that wait for upstreams. */
   readonly unsent: UnsentRequests;
   /** Why the request may not be written now; undefined if it may. */
--- a/packages/gateway/src/calls/call_dependencies.ts
+++ b/packages/gateway/src/calls/call_dependencies.ts
@@ -2,6 +2,7 @@
 
 import type { CodedError, Logger, Metrics, Settings } from "@mallowlift/core";
 import type { CallerDialect } from "../dialect.ts";
+import type { ByteAccount } from "../memory/byte_account.ts";
 import type { CallQuarantine } from "../quarantine/call_quarantine.ts";
 import type { PromptMemory } from "../upstreams/prompt_memory.ts";
 import type { UnsentRequests } from "../upstreams/unsent_requests.ts";
@@ -21,6 +22,8 @@
   readonly quarantine: CallQuarantine;
   /** Checks the keys and quotas of workspaces before each send. */
   readonly sendGate: SendGate;
+  /** Memory of answers before they are sent, and of the outputs of turns. */
+  readonly answers: ByteAccount;
   /** Request bytes that wait for upstreams. */
   readonly unsent: UnsentRequests;
   readonly logger: Logger;
--- a/packages/gateway/src/calls/event_relay.ts
+++ b/packages/gateway/src/calls/event_relay.ts
@@ -10,6 +10,7 @@
   readEventId,
 } from "../http/event_splitter.ts";
 import { dropHopHeaders } from "../http/headers.ts";
+import type { ByteReservation } from "../memory/byte_account.ts";
 import type { StreamProgress } from "../upstreams/answer_framing.ts";
 import type { OpenCall } from "./open_call.ts";
 import type { EventSink } from "./attempt.ts";
@@ -26,6 +27,7 @@
 export class EventRelay implements EventSink {
   readonly #call: OpenCall;
   readonly #observer: TurnObserver | undefined;
+  readonly #room: ByteReservation | undefined;
   readonly #splitter = new EventSplitter();
   readonly #data = new ByteCollector();
   readonly #maxEvents: number;
@@ -35,10 +37,19 @@
   /** True if the stream of the current attempt has had an event with data. */
   #hasEvents = false;
   #lastId = "";
+  #lacksRoom = false;
 
-  constructor(call: OpenCall, observer?: TurnObserver) {
+  /** With a reservation, the data of the events is kept as far as there is room. */
+  constructor(
+    call: OpenCall,
+    options: {
+      readonly observer?: TurnObserver | undefined;
+      readonly room?: ByteReservation | undefined;
+    } = {},
+  ) {
     this.#call = call;
-    this.#observer = observer;
+    this.#observer = options.observer;
+    this.#room = options.room;
     this.#maxEvents = findMaxEvents(call);
   }
 
@@ -52,9 +63,14 @@
     return this.#lastId;
   }
 
+  /** True if the stream cannot go on, because there is no room for its output. */
+  get lacksRoom(): boolean {
+    return this.#lacksRoom;
+  }
+
   /** True if no event with data was sent yet, or an event with an id was. */
   get canResume(): boolean {
-    return this.#eventCount === 0 || this.#lastId !== "";
+    return !this.#lacksRoom && (this.#eventCount === 0 || this.#lastId !== "");
   }
 
   /**
@@ -80,7 +96,6 @@
    * exceeds the tokens that are reserved for it or the history that can be kept.
    */
   push(bytes: Buffer): boolean {
-    const { keepsHistory } = this.#call.parts.route;
     const events: Buffer[] = [];
     let isTooLong = false;
     for (const event of this.#splitter.push(bytes)) {
@@ -92,20 +107,29 @@
         isTooLong = true;
         break;
       }
+      if (!this.#tryKeep(data)) break;
       if (id !== undefined) this.#lastId = id;
       if (data.length > 0) {
         this.#eventCount++;
         this.#observer?.recordEvent(performance.now());
       }
-      if (keepsHistory) this.#data.push(data);
       events.push(event);
     }
     if (events.length > 0) this.#sendHead();
     this.#call.sendEvents(events);
-    return !isTooLong && !this.#splitter.isTooLong &&
+    return !isTooLong && !this.#lacksRoom && !this.#splitter.isTooLong &&
       this.#data.length <= MAX_HISTORY_BYTES;
   }
 
+  /** False if there is no room for more of the output. */
+  #tryKeep(data: Buffer): boolean {
+    if (this.#room === undefined) return true;
+    const capacity = this.#data.findCapacity(data.length);
+    this.#lacksRoom = !this.#room.tryResize(capacity);
+    if (!this.#lacksRoom) this.#data.push(data);
+    return !this.#lacksRoom;
+  }
+
   /** How far the stream of the current attempt has come. */
   get progress(): StreamProgress {
     return {
--- a/packages/gateway/src/calls/open_call.ts
+++ b/packages/gateway/src/calls/open_call.ts
@@ -11,6 +11,8 @@
   RawHeaders,
 } from "../dialect.ts";
 import type { ReceivedAnswer } from "../upstreams/answer_framing.ts";
+import type { ByteReservation } from "../memory/byte_account.ts";
+import type { RequestBody } from "../memory/request_body.ts";
 import { RequestFingerprint } from "../quarantine/request_fingerprint.ts";
 import type { Admission } from "../workspaces/key_admission.ts";
 import { findScope } from "../workspaces/scoped_id.ts";
@@ -41,7 +43,7 @@
 export interface OpenCallOptions extends Admission {
   readonly head: CallHead;
   readonly facts: CallFacts;
-  readonly body: Buffer;
+  readonly body: RequestBody;
   readonly service: string;
   readonly response: ServerResponse;
   /** Unread bytes of all calls. */
@@ -88,6 +90,7 @@
   #permitUntil = -Infinity;
   readonly #timer: NodeJS.Timeout;
   #source: AnswerSource | undefined;
+  readonly #reservations: ByteReservation[] = [];
   #fingerprint: RequestFingerprint | undefined;
   #isHeld = false;
   /** Bytes of a complete answer that are not written to the response yet. */
@@ -139,7 +142,7 @@
       host: route.host,
       head,
       facts,
-      body,
+      body: body.bytes,
     });
     return this.#fingerprint;
   }
@@ -188,9 +191,21 @@
     return this.deadlineAt - now;
   }
 
-  /** Stops the deadline timer; called once, when the answer has ended. */
+  /** Frees memory that was reserved for the call when the call is closed. */
+  addReservation(reservation: ByteReservation): void {
+    this.#reservations.push(reservation);
+  }
+
+  /**
+   * Stops the deadline timer and frees the body; called once, when the answer
+   * has ended.
+   */
   close(): void {
     clearTimeout(this.#timer);
+    this.#fingerprint?.complete();
+    const now = performance.now();
+    this.parts.body.release(now);
+    for (const reservation of this.#reservations) reservation.release(now);
   }
 
   /**
--- a/packages/gateway/src/calls/open_call_test.ts
+++ b/packages/gateway/src/calls/open_call_test.ts
@@ -4,6 +4,7 @@
 import type { Route } from "@mallowlift/core";
 import { test } from "tap";
 import type { RouteTable } from "../routing/route_table.ts";
+import { RequestBody } from "../memory/request_body.ts";
 import { OpenCall } from "./open_call.ts";
 import { UnreadAnswers } from "./unread_answers.ts";
 
@@ -28,7 +29,7 @@
       finishMilliseconds: Infinity,
       promptParts: [],
     },
-    body: Buffer.alloc(0),
+    body: new RequestBody(Buffer.alloc(0)),
     route: { timeoutMilliseconds: 60_000 } as Route,
     table: {} as RouteTable,
     workspace: undefined,
--- a/packages/gateway/src/calls/run_attempt.ts
+++ b/packages/gateway/src/calls/run_attempt.ts
@@ -17,6 +17,7 @@
   type AnswerFraming,
   findTruncation,
 } from "../upstreams/answer_framing.ts";
+import type { ByteReservation } from "../memory/byte_account.ts";
 import type { UnsentRequest } from "../upstreams/unsent_requests.ts";
 import type { Upstream } from "../upstreams/upstream.ts";
 import type { AttemptEnd, AttemptOptions, AttemptResult } from "./attempt.ts";
@@ -124,6 +125,7 @@
   #framing: AnswerFraming | undefined;
   #receivedBytes = 0;
   readonly #buffered = new ByteCollector();
+  readonly #room: ByteReservation;
   #isStream = false;
   #isForwarding = false;
   #notRun: CodedError | undefined;
@@ -139,6 +141,7 @@
     this.#options = options;
     this.#connection = parts.connection;
     this.#unsent = parts.unsent;
+    this.#room = options.openAnswer();
   }
 
   get pausedBytes(): number {
@@ -187,7 +190,7 @@
       this.#startSilenceTimer(REFUSAL_WAIT_MILLISECONDS);
     } else if (this.#isTooLong(head, framing)) {
       this.#spoil(ANSWER_TOO_LONG_MESSAGE);
-    } else this.#startAnswer(head);
+    } else this.#startAnswer(head, framing);
     return "own";
   }
 
@@ -211,19 +214,27 @@
     return Number(length) > this.#options.maxAnswerBytes;
   }
 
-  #startAnswer(head: AnswerHead): void {
+  #startAnswer(head: AnswerHead, framing: AnswerFraming): void {
     const { events, flow, streamSilentMilliseconds } = this.#options;
     // On a route that streams, an answer that names no type is a stream.
     const type = findHeader(head.headers, "content-type") ?? EVENT_STREAM_TYPE;
     this.#isStream = events !== undefined && head.status === 200 &&
       type.startsWith(EVENT_STREAM_TYPE);
-    if (!this.#isStream) return;
+    if (!this.#isStream) return this.#reserveAnswer(head, framing);
     this.#recordLatency();
     this.#startSilenceTimer(streamSilentMilliseconds);
     events?.start(head);
     flow.setSource(this);
   }
 
+  /** An answer of a known length is read into one buffer. */
+  #reserveAnswer(head: AnswerHead, framing: AnswerFraming): void {
+    if (framing !== ANSWER_FRAMINGS.LENGTH) return;
+    const length = Number(findHeader(head.headers, "content-length"));
+    if (length > MAX_BUFFERED_BYTES || !this.#room.tryResize(length)) return;
+    this.#buffered.reserve(length);
+  }
+
   onBody(bytes: Buffer): void {
     this.#receivedBytes += bytes.length;
     if (this.#notRun !== undefined) {
@@ -236,12 +247,23 @@
     if (this.#isStream) {
       this.#silenceTimer?.refresh();
       const isValid = this.#options.events?.push(bytes) ?? true;
-      if (!isValid) this.#spoil("The stream is longer than the call allows");
-      return;
+      if (isValid) return;
+      if (this.#options.events?.lacksRoom === true) return this.#endForRoom();
+      return this.#spoil("The stream is longer than the call allows");
     }
     if (this.#isForwarding) return this.#options.body.push(bytes);
-    this.#buffered.push(bytes);
-    if (this.#buffered.length > MAX_BUFFERED_BYTES) this.#startForwarding();
+    this.#bufferOrForward(bytes);
+  }
+
+  /** Buffers an answer while it is small and there is room for it. */
+  #bufferOrForward(bytes: Buffer): void {
+    const length = this.#buffered.length + bytes.length;
+    const capacity = this.#buffered.findCapacity(bytes.length);
+    if (length <= MAX_BUFFERED_BYTES && this.#room.tryResize(capacity)) {
+      return this.#buffered.push(bytes);
+    }
+    this.#startForwarding();
+    if (this.#isForwarding) this.#options.body.push(bytes);
   }
 
   onWritten(): void {
@@ -288,6 +310,8 @@
     this.#options.flow.setSource(undefined);
     // The connection has written the request, or it is closed by now.
     this.#unsent.release();
+    // A whole answer is kept until its call is closed.
+    if (end.kind !== "whole") this.#room.release(performance.now());
     const received = this.#framing === undefined
       ? undefined
       : { framing: this.#framing, bytes: this.#receivedBytes };
@@ -304,8 +328,11 @@
     this.#recordResult(head);
     this.#options.body.start(head, framing);
     this.#options.flow.setSource(this);
-    this.#options.body.push(this.#buffered.bytes);
+    if (this.#buffered.length > 0) {
+      this.#options.body.push(this.#buffered.bytes);
+    }
     this.#buffered.clear();
+    this.#room.release(performance.now());
   }
 
   #startSilenceTimer(milliseconds: number): void {
@@ -355,6 +382,14 @@
     this.onFailure(LOSS_CAUSES.MALFORMED, message);
   }
 
+  /** Ends an attempt for whose answer this gateway has no room. */
+  #endForRoom(): void {
+    this.#connection.destroy();
+    const message = "The gateway has no room for the output of the turn";
+    const error = createError(RESULT_CODES.ANSWER_SPOILED, message);
+    this.#settle({ kind: "lost", error, cause: LOSS_CAUSES.MALFORMED });
+  }
+
   /** Ends a refused attempt without reading the rest of the refusal. */
   #endRefusal(): void {
     this.#connection.destroy();
--- a/packages/gateway/src/calls/run_attempt_test.ts
+++ b/packages/gateway/src/calls/run_attempt_test.ts
@@ -8,6 +8,7 @@
 import { RESULT_CODES } from "@mallowlift/core";
 import { test } from "tap";
 import { NativeCallerDialect } from "../native_dialect.ts";
+import { ByteAccount } from "../memory/byte_account.ts";
 import { UnsentRequests } from "../upstreams/unsent_requests.ts";
 import { Upstream } from "../upstreams/upstream.ts";
 import type { AttemptOptions, AttemptResult } from "./attempt.ts";
@@ -48,6 +49,8 @@
     maxAnswerBytes: Infinity,
     body: { start: () => undefined, push: () => undefined },
     flow: { setSource: () => undefined },
+    openAnswer: () =>
+      new ByteAccount(LIMITS.totalBytes).open({ owner: undefined, now: 0 }),
     unsent: new UnsentRequests(LIMITS),
     findRefusal: () => undefined,
   };
--- a/packages/gateway/src/calls/run_call_attempt.ts
+++ b/packages/gateway/src/calls/run_call_attempt.ts
@@ -75,6 +75,11 @@
     events: options.events,
     body: new BodyRelay(call),
     flow: call,
+    openAnswer: () => {
+      const reservation = parts.answers.open({ owner: undefined, now });
+      call.addReservation(reservation);
+      return reservation;
+    },
     unsent: parts.unsent,
     findRefusal: (now) => parts.sendGate.findRefusal(call, now),
     request: {
--- a/packages/gateway/src/calls/run_plain_call.ts
+++ b/packages/gateway/src/calls/run_plain_call.ts
@@ -19,7 +19,7 @@
 ): Promise<void> {
   const events = new EventRelay(call);
   const result = await sendCall(call, parts, {
-    body: call.parts.body,
+    body: call.parts.body.bytes,
     preferredId: "",
     events: call.parts.route.kind === "stream" ? events : undefined,
   });
--- a/packages/gateway/src/calls/run_turn.ts
+++ b/packages/gateway/src/calls/run_turn.ts
@@ -13,15 +13,17 @@
   type TurnRecord,
 } from "@mallowlift/core";
 import { Ok } from "ts-results";
+import type { ByteAccount, ByteReservation } from "../memory/byte_account.ts";
+import { refuseForRoom } from "../memory/refuse_for_room.ts";
 import type { PermitPool } from "../quotas/permit_pool.ts";
 import type { SiteClient } from "../site/site_client.ts";
-import { findScope, scopeId } from "../workspaces/scoped_id.ts";
+import { findOwner, findScope, scopeId } from "../workspaces/scoped_id.ts";
 import type { CallDependencies } from "./call_dependencies.ts";
 import { EventRelay } from "./event_relay.ts";
 import type { OpenCall } from "./open_call.ts";
 import { failCall, relayAnswer } from "./run_plain_call.ts";
 import { sendCall } from "./send_call.ts";
-import { joinPrompt, type TurnCache } from "./turn_cache.ts";
+import { joinPrompt, measurePrompt, type TurnCache } from "./turn_cache.ts";
 import { TurnObserver } from "./turn_observer.ts";
 import type { TurnPlacementRequests } from "./turn_placement_requests.ts";
 
@@ -37,6 +39,8 @@
   readonly client: SiteClient;
   readonly permits: PermitPool;
   readonly cache: TurnCache;
+  /** Memory of the bodies and the joined prompts of requests. */
+  readonly requests: ByteAccount;
   readonly placement: TurnPlacementRequests;
 }
 
@@ -59,9 +63,14 @@
   if (begun.err) return refuseTurn(call, parts, begun.val);
   const { chain, latestUpstream, placedUpstream } = begun.val;
   const observer = placedUpstream === "" ? undefined : new TurnObserver();
-  const relay = new EventRelay(call, observer);
+  const prompt = tryJoinPrompt(call, chain);
+  if (prompt === undefined) return refuseFullTurn(call, parts, chain);
+  const relay = new EventRelay(call, {
+    observer,
+    room: openOutput(call, parts),
+  });
   const result = await sendCall(call, parts, {
-    body: joinPrompt(chain, call.parts.body),
+    body: prompt,
     preferredId: chain.at(-1)?.upstream ?? "",
     fallbackId: latestUpstream,
     placedId: placedUpstream,
@@ -69,6 +78,7 @@
     observer,
   });
   if ("failure" in result) {
+    if (relay.lacksRoom) recordFullOutput(call, parts);
     settleTurn(call, parts, { events: relay.count, observer });
     return failCall(call, parts, result.failure);
   }
@@ -91,6 +101,64 @@
   await endTurn(call, parts, { relay, upstream: result.upstream, observer });
 }
 
+/**
+ * The history and the input of a turn; undefined if there is no room for a copy.
+ * Without a history, the input is the prompt.
+ */
+function tryJoinPrompt(
+  call: OpenCall,
+  chain: readonly TurnRecord[],
+): Buffer | undefined {
+  const { body } = call.parts;
+  if (chain.length === 0) return body.bytes;
+  const hasRoom = body.tryExtend(measurePrompt(chain, body.bytes));
+  return hasRoom ? joinPrompt(chain, body.bytes) : undefined;
+}
+
+/** Refuses a turn that has begun at the stores and is not sent. */
+function refuseFullTurn(
+  call: OpenCall,
+  parts: TurnDependencies,
+  chain: readonly TurnRecord[],
+): void {
+  const { table, workspace, facts } = call.parts;
+  const owner = findOwner(table.document, workspace);
+  const error = refuseForRoom(
+    { ...parts, account: parts.requests },
+    {
+      callId: facts.callId,
+      owner,
+      bytes: measurePrompt(chain, call.parts.body.bytes),
+      now: performance.now(),
+    },
+  );
+  countRefusal(parts.metrics, "turns", error.code);
+  settleTurn(call, parts, { events: 0 });
+  failCall(call, parts, { error, notRun: true });
+}
+
+/** Memory for the output of a turn; undefined if it is not kept. */
+function openOutput(
+  call: OpenCall,
+  parts: TurnDependencies,
+): ByteReservation | undefined {
+  if (!call.parts.route.keepsHistory) return undefined;
+  const now = performance.now();
+  const room = parts.answers.open({ owner: undefined, now });
+  call.addReservation(room);
+  return room;
+}
+
+function recordFullOutput(call: OpenCall, parts: TurnDependencies): void {
+  countRefusal(parts.metrics, "answers", RESULT_CODES.REQUESTS_FULL);
+  parts.logger.warn("No room for the output of a turn", {
+    call: call.parts.facts.callId,
+    program: call.parts.facts.programId,
+    held_bytes: parts.answers.bytes,
+    limit_bytes: parts.answers.maxBytes,
+  });
+}
+
 /** The ids of a turn in the stores, scoped to its workspace. */
 function findTurnIds(
   call: OpenCall,
@@ -247,7 +315,8 @@
   },
 ): Promise<void> {
   const { relay, upstream, observer } = details;
-  const { facts, body } = call.parts;
+  const { facts } = call.parts;
+  const body = call.parts.body.bytes;
   const output = relay.joinData();
   const requestedAt = performance.now();
   const quota = parts.sendGate.findQuota(call);
--- a/packages/gateway/src/calls/turn_cache.ts
+++ b/packages/gateway/src/calls/turn_cache.ts
@@ -104,6 +104,16 @@
   return Buffer.concat(parts);
 }
 
+/** Length of the prompt of a turn, bytes. */
+export function measurePrompt(
+  chain: readonly TurnRecord[],
+  input: Buffer,
+): number {
+  let length = input.length;
+  for (const turn of chain) length += turn.input.length + turn.output.length;
+  return length;
+}
+
 function measureBytes(turn: TurnRecord): number {
   return turn.input.length + turn.output.length + TURN_OVERHEAD_BYTES;
 }
--- a/packages/gateway/src/gateway_role.ts
+++ b/packages/gateway/src/gateway_role.ts
@@ -27,6 +27,8 @@
 import { UnreadAnswers } from "./calls/unread_answers.ts";
 import type { CallerDialect, OperatorDialect } from "./dialect.ts";
 import { CallerServer } from "./http/caller_server.ts";
+import { RequestBodies } from "./http/request_bodies.ts";
+import { ByteAccount } from "./memory/byte_account.ts";
 import {
   createOperatorServer,
   SiteOperations,
@@ -171,6 +173,8 @@
         waitMilliseconds: gateway.leaderWaitMilliseconds,
       }),
       permits,
+      answers: new ByteAccount(gateway.answerTotalBytes),
+      requests: new ByteAccount(gateway.requestTotalBytes),
       unsent: new UnsentRequests({
         upstreamBytes: gateway.unsentUpstreamBytes,
         totalBytes: gateway.unsentTotalBytes,
@@ -197,6 +201,12 @@
       dialect: options.callerDialect,
       getRoutes: () => this.#follower.routes,
       admission: this.#admission,
+      bodies: new RequestBodies({
+        account: this.#parts.requests,
+        stallMilliseconds: gateway.bodyStallMilliseconds,
+        random,
+        logger: logger.forPart("calls"),
+      }),
       run: (call) => this.#run(call),
       unread: this.#unread,
       random,
@@ -323,6 +333,8 @@
     void this.#quarantineExchange.sendMissed(now);
     metrics.quarantinedRequests.set(this.#quarantine.countQuarantined());
     metrics.unreadBytes.set(this.#unread.totalBytes);
+    metrics.requestBytes.set(this.#parts.requests.bytes);
+    metrics.answerBytes.set(this.#parts.answers.bytes);
     metrics.unsentBytes.set(this.#parts.unsent.totalBytes);
     for (const upstream of this.#upstreams.list()) upstream.closeExpired(now);
   }
--- a/packages/gateway/src/http/caller_server.ts
+++ b/packages/gateway/src/http/caller_server.ts
@@ -4,7 +4,6 @@
  * framework would alter them.
  */
 
-import type { Buffer } from "node:buffer";
 import {
   createServer,
   type IncomingMessage,
@@ -21,6 +20,7 @@
   type Metrics,
   type Outcome,
   RESULT_CODES,
+  type ResultCode,
   type RoutingLimits,
   sleep,
 } from "@mallowlift/core";
@@ -28,7 +28,8 @@
 import { Ok } from "ts-results";
 import { OpenCall } from "../calls/open_call.ts";
 import type { UnreadAnswers } from "../calls/unread_answers.ts";
-import type { CallerDialect } from "../dialect.ts";
+import type { CallerDialect, CallFacts, CallHead } from "../dialect.ts";
+import type { RequestBody } from "../memory/request_body.ts";
 import { chooseService, type RouteTable } from "../routing/route_table.ts";
 import {
   type Admission,
@@ -37,8 +38,8 @@
   STALE_RETRY_MILLISECONDS,
 } from "../workspaces/key_admission.ts";
 import { WorkspaceFailures } from "../workspaces/workspace_failures.ts";
-import { readBody } from "./read_body.ts";
-import { writeGatewayAnswer } from "./write_gateway_answer.ts";
+import { refuseRequest } from "./refuse_request.ts";
+import type { RequestBodies } from "./request_bodies.ts";
 
 /**
  * Largest head of a request, bytes; the limit of the routing document is
@@ -60,6 +61,12 @@
  */
 const STOP_QUIET_POLLS = 2;
 
+/** Refusals after which the rest of the body is not worth its connection. */
+const CLOSING_CODES: ReadonlySet<ResultCode> = new Set([
+  RESULT_CODES.BODY_TOO_LARGE,
+  RESULT_CODES.BODY_TIMEOUT,
+]);
+
 /** Options of {@linkcode CallerServer}. */
 export interface CallerServerOptions {
   readonly listen: string;
@@ -72,6 +79,7 @@
   readonly dialect: CallerDialect;
   readonly getRoutes: () => RouteTable | undefined;
   readonly admission: KeyAdmission;
+  readonly bodies: RequestBodies;
   readonly run: (call: OpenCall) => Promise<void>;
   /** Unread bytes of all calls. */
   readonly unread: UnreadAnswers<OpenCall>;
@@ -196,7 +204,7 @@
     readonly arrivedAt: number;
   }): Promise<Outcome<OpenCall>> {
     const { request } = parts;
-    const { admission } = this.#options;
+    const { admission, bodies, dialect } = this.#options;
     const facts = describeRequest(request);
     // Admission may wait for a newer document: callers retry only a few times,
     // and a document arrives soon after a start or a change. A gateway that
@@ -205,26 +213,37 @@
     if (first.err) return first;
     const { limits } = first.val.table.document;
     this.#applyLimits(limits);
-    const body = await readBody(request, limits.maxBodyBytes);
+    const head = describeHead(request);
+    const call = dialect.readCall(head);
+    if (call.err) return call;
+    const body = await bodies.read({
+      ...parts,
+      admission: first.val,
+      facts: call.val,
+    });
     if (body.err) return body;
     const admitted = await admission.admit(facts);
-    if (admitted.err) return admitted;
-    return this.#createCall({
+    const opened = admitted.err ? admitted : this.#createCall({
       ...parts,
+      head,
+      facts: call.val,
       body: body.val,
       admission: admitted.val,
     });
+    if (opened.err) body.val.release(performance.now());
+    return opened;
   }
 
   #createCall(parts: {
-    readonly request: IncomingMessage;
+    readonly head: CallHead;
+    readonly facts: CallFacts;
     readonly response: ServerResponse;
     readonly arrivedAt: number;
-    readonly body: Buffer;
+    readonly body: RequestBody;
     readonly admission: Admission;
   }): Outcome<OpenCall> {
-    const { request, response, arrivedAt, body, admission } = parts;
-    const { dialect, random, maxRequests } = this.#options;
+    const { head, facts, response, arrivedAt, body, admission } = parts;
+    const { random, maxRequests } = this.#options;
     if (this.#openRequests > maxRequests) {
       return fail(
         RESULT_CODES.OVERLOADED,
@@ -232,18 +251,11 @@
         STALE_RETRY_MILLISECONDS,
       );
     }
-    const head = {
-      method: request.method ?? "GET",
-      target: request.url ?? "/",
-      headers: request.rawHeaders,
-    };
-    const facts = dialect.readCall(head);
-    if (facts.err) return facts;
     return Ok(
       new OpenCall({
         ...admission,
         head,
-        facts: facts.val,
+        facts,
         body,
         service: chooseService(admission.route, random()),
         response,
@@ -266,11 +278,7 @@
     const { dialect, logger, metrics } = this.#options;
     countRefusal(metrics, "gateway", error.code);
     if (error.code === RESULT_CODES.CALLER_LEFT) return;
-    const facts = dialect.readCall({
-      method: request.method ?? "",
-      target: request.url ?? "",
-      headers: request.rawHeaders,
-    });
+    const facts = dialect.readCall(describeHead(request));
     logger.info("Request refused", {
       call: facts.ok ? facts.val.callId : "",
       program: facts.ok ? facts.val.programId : "",
@@ -280,13 +288,14 @@
       version: this.#options.getRoutes()?.document.version ?? -1,
       document_age_ms: this.#findDocumentAge(),
     });
-    // With other errors, the rest of the body is read and discarded: closing a
-    // connection with unread bytes resets it, and the caller would lose the
-    // answer.
-    if (error.code === RESULT_CODES.BODY_TOO_LARGE) {
+    if (CLOSING_CODES.has(error.code)) {
       response.setHeader("Connection", "close");
     }
-    writeGatewayAnswer(response, dialect.writeFailure(error));
+    const limits = this.#options.getRoutes()?.document.limits ?? INITIAL_LIMITS;
+    refuseRequest(request, response, {
+      answer: dialect.writeFailure(error),
+      maxBytes: limits.maxBodyBytes,
+    });
   }
 
   #recordEnd(call: OpenCall): void {
@@ -323,3 +332,11 @@
     return Math.round(this.#options.findDocumentAge(performance.now()));
   }
 }
+
+function describeHead(request: IncomingMessage): CallHead {
+  return {
+    method: request.method ?? "GET",
+    target: request.url ?? "/",
+    headers: request.rawHeaders,
+  };
+}
--- a/packages/gateway/src/quarantine/call_quarantine.ts
+++ b/packages/gateway/src/quarantine/call_quarantine.ts
@@ -141,6 +141,8 @@
     const { result, upstream, sentAt } = attempt;
     if (result.kind === "whole") return this.#recordAnswer(call, sentAt);
     if (result.kind !== "lost" || upstream.instance.leaving) return;
+    // An end may show when the call is over and its body is freed.
+    void call.fingerprint.content;
     if (isConnectionLoss(result.cause)) {
       const recorded = this.#recordLoss(call, { upstream, sentAt });
       const { connectMilliseconds } = this.#options;
--- a/packages/gateway/src/quarantine/request_fingerprint.ts
+++ b/packages/gateway/src/quarantine/request_fingerprint.ts
@@ -35,17 +35,22 @@
  * ```
  */
 export class RequestFingerprint {
-  readonly #source: FingerprintSource;
+  readonly #source: Omit<FingerprintSource, "body">;
+  /** Undefined once the content is computed. */
+  #body: Buffer | undefined;
   #content: string | undefined;
   #caller: string | undefined;
 
   constructor(source: FingerprintSource) {
-    this.#source = source;
+    const { body, ...rest } = source;
+    this.#source = rest;
+    this.#body = body;
   }
 
   /** Equal for all callers of a workspace that send the same content. */
   get content(): string {
-    this.#content ??= computeContent(this.#source);
+    this.#content ??= computeContent(this.#source, this.#body);
+    this.#body = undefined;
     return this.#content;
   }
 
@@ -55,14 +60,22 @@
     return this.#caller;
   }
 
+  /** Computes what needs the body, which may be freed afterwards. */
+  complete(): void {
+    void this.content;
+  }
+
   /** True if callers other than one program may send the same content. */
   get mayBeShared(): boolean {
     return this.#source.facts.previousTurnId === "";
   }
 }
 
-function computeContent(source: FingerprintSource): string {
-  const { scope, host, head, facts, body } = source;
+function computeContent(
+  source: Omit<FingerprintSource, "body">,
+  body: Buffer | undefined,
+): string {
+  const { scope, host, head, facts } = source;
   const place = [scope, host, head.method, head.target, facts.previousTurnId];
   return hash(place.join(SEPARATOR) + SEPARATOR, body);
 }
--- a/packages/gateway/src/upstreams/upstream_connection.ts
+++ b/packages/gateway/src/upstreams/upstream_connection.ts
@@ -17,6 +17,9 @@
 /** Largest bodies of such answers together, bytes. */
 const MAX_SKIPPED_BYTES = 1_048_576;
 
+/** Largest body that is copied behind its head, bytes; larger ones are not copied. */
+const MAX_JOINED_BYTES = 16_384;
+
 /**
  * Whether an answer belongs to the pending request, to another one, or cannot
  * be assigned.
@@ -167,10 +170,19 @@
     this.#isFlushed = false;
     this.#parser.requestMethod = request.method;
     const head = writeHead(request);
-    this.#socket.write(Buffer.concat([head, request.body]), () => {
+    const handleWritten = () => {
       this.#isFlushed = true;
       listener.onWritten();
-    });
+    };
+    // One write of small parts costs less than a write of two.
+    if (request.body.length <= MAX_JOINED_BYTES) {
+      const joined = Buffer.concat([head, request.body]);
+      return void this.#socket.write(joined, handleWritten);
+    }
+    this.#socket.cork();
+    this.#socket.write(head);
+    this.#socket.write(request.body, handleWritten);
+    this.#socket.uncork();
   }
 
   /**
@@ -225,7 +237,10 @@
     if (!isReusable) return;
     // The last bytes of an answer may have paused the connection.
     this.#socket.resume();
-    this.onIdle();
+    // An idle connection keeps nothing of its last request and answer.
+    const { onIdle } = this;
+    this.onIdle = () => undefined;
+    onIdle();
   }
 
   #handleBytes(bytes: Buffer): void {
--- a/packages/gateway/src/workspaces/scoped_id.ts
+++ b/packages/gateway/src/workspaces/scoped_id.ts
@@ -28,6 +28,17 @@
   return id === "" ? "" : `${scope}${id}`;
 }
 
+/**
+ * Whose share of a common room a request uses: the name of its workspace, empty
+ * without a key; undefined on a site without workspaces, where none divides it.
+ */
+export function findOwner(
+  document: RoutingDocument,
+  workspace: Workspace | undefined,
+): string | undefined {
+  return hasWorkspaces(document) ? workspace?.name ?? "" : undefined;
+}
+
 /** True if the site has workspaces, so that routes that are not public need keys. */
 export function hasWorkspaces(document: RoutingDocument): boolean {
   return document.workspaces !== undefined && document.workspaces.length > 0;
--- a/packages/mocks/src/opaque/opaque_upstream.ts
+++ b/packages/mocks/src/opaque/opaque_upstream.ts
@@ -97,6 +97,8 @@
   events = 3;
   /** Bytes that are added to the data of each event. */
   paddingBytes = 0;
+  /** Bytes that are added to each answer that is not a stream. */
+  answerBytes = 0;
   /** Events that were written to all streams. */
   writtenEvents = 0;
   readonly #server: Server;
@@ -185,7 +187,10 @@
     if (target.includes("large")) return await this.#sendLargeAnswer(response);
     const last = Number(request.headers["last-event-id"] ?? 0);
     if (target.includes("stream")) await this.#stream(body, response, last);
-    else response.writeHead(OK).end(`ran ${callId}`);
+    else {
+      const padding = "x".repeat(this.answerBytes);
+      response.writeHead(OK).end(`ran ${callId}${padding}`);
+    }
   }
 
   /** Begins a request and ends before its answer is complete. */
