A turn whose output would find no room is refused before it begins

With the bound on kept outputs, turns that begin together could all be admitted and then be broken off for want of room. The usual size of an output is reserved before a turn begins, as long as half of the room is free; beyond that, the turn gets 503 REQUESTS_FULL, and nothing has begun at the stores.

--- a/packages/gateway/src/calls/event_relay.ts
+++ b/packages/gateway/src/calls/event_relay.ts
@@ -125,7 +125,9 @@
   #tryKeep(data: Buffer): boolean {
     if (this.#room === undefined) return true;
     const capacity = this.#data.findCapacity(data.length);
-    this.#lacksRoom = !this.#room.tryResize(capacity);
+    const hasRoom = capacity <= this.#room.bytes ||
+      this.#room.tryResize(capacity);
+    this.#lacksRoom = !hasRoom;
     if (!this.#lacksRoom) this.#data.push(data);
     return !this.#lacksRoom;
   }
--- a/packages/gateway/src/calls/run_turn.ts
+++ b/packages/gateway/src/calls/run_turn.ts
@@ -13,7 +13,8 @@
   type TurnRecord,
 } from "@mallowlift/core";
 import { Ok } from "ts-results";
-import type { ByteAccount, ByteReservation } from "../memory/byte_account.ts";
+import type { ByteAccount } from "../memory/byte_account.ts";
+import type { TurnOutputs } from "../memory/turn_outputs.ts";
 import { refuseForRoom } from "../memory/refuse_for_room.ts";
 import type { PermitPool } from "../quotas/permit_pool.ts";
 import type { SiteClient } from "../site/site_client.ts";
@@ -39,6 +40,8 @@
   readonly client: SiteClient;
   readonly permits: PermitPool;
   readonly cache: TurnCache;
+  /** Room for the outputs of turns. */
+  readonly outputs: TurnOutputs;
   /** Memory of the bodies and the joined prompts of requests. */
   readonly requests: ByteAccount;
   readonly placement: TurnPlacementRequests;
@@ -59,16 +62,19 @@
   call: OpenCall,
   parts: TurnDependencies,
 ): Promise<void> {
+  const { keepsHistory } = call.parts.route;
+  const room = keepsHistory
+    ? parts.outputs.tryOpen(performance.now())
+    : undefined;
+  if (keepsHistory && room === undefined) return refuseOutput(call, parts);
+  if (room !== undefined) call.addReservation(room);
   const begun = await beginTurn(call, parts);
   if (begun.err) return refuseTurn(call, parts, begun.val);
   const { chain, latestUpstream, placedUpstream } = begun.val;
   const observer = placedUpstream === "" ? undefined : new TurnObserver();
   const prompt = tryJoinPrompt(call, chain);
   if (prompt === undefined) return refuseFullTurn(call, parts, chain);
-  const relay = new EventRelay(call, {
-    observer,
-    room: openOutput(call, parts),
-  });
+  const relay = new EventRelay(call, { observer, room });
   const result = await sendCall(call, parts, {
     body: prompt,
     preferredId: chain.at(-1)?.upstream ?? "",
@@ -137,16 +143,16 @@
   failCall(call, parts, { error, notRun: true });
 }
 
-/** Memory for the output of a turn; undefined if it is not kept. */
-function openOutput(
-  call: OpenCall,
-  parts: TurnDependencies,
-): ByteReservation | undefined {
-  if (!call.parts.route.keepsHistory) return undefined;
+/** Refuses a turn that has not begun, because its output might not fit. */
+function refuseOutput(call: OpenCall, parts: TurnDependencies): void {
+  const { facts, table, workspace } = call.parts;
+  const { account, expectedBytes: bytes } = parts.outputs;
+  const owner = findOwner(table.document, workspace);
   const now = performance.now();
-  const room = parts.answers.open({ owner: undefined, now });
-  call.addReservation(room);
-  return room;
+  const refused = { callId: facts.callId, owner, bytes, now };
+  const error = refuseForRoom({ ...parts, account }, refused);
+  countRefusal(parts.metrics, "turns", error.code);
+  failCall(call, parts, { error, notRun: true });
 }
 
 function recordFullOutput(call: OpenCall, parts: TurnDependencies): void {
@@ -318,6 +324,7 @@
   const { facts } = call.parts;
   const body = call.parts.body.bytes;
   const output = relay.joinData();
+  parts.outputs.record(output.length);
   const requestedAt = performance.now();
   const quota = parts.sendGate.findQuota(call);
   // Many turns are followed by tool calls, whose permits are requested with
--- a/packages/gateway/src/gateway_role.ts
+++ b/packages/gateway/src/gateway_role.ts
@@ -29,6 +29,7 @@
 import { CallerServer } from "./http/caller_server.ts";
 import { RequestBodies } from "./http/request_bodies.ts";
 import { ByteAccount } from "./memory/byte_account.ts";
+import { TurnOutputs } from "./memory/turn_outputs.ts";
 import {
   createOperatorServer,
   SiteOperations,
@@ -149,6 +150,7 @@
       random,
       logger: quarantineLogger,
     });
+    const answers = new ByteAccount(gateway.answerTotalBytes);
     this.#parts = {
       settings: gateway,
       dialect: options.callerDialect,
@@ -173,7 +175,8 @@
         waitMilliseconds: gateway.leaderWaitMilliseconds,
       }),
       permits,
-      answers: new ByteAccount(gateway.answerTotalBytes),
+      answers,
+      outputs: new TurnOutputs(answers),
       requests: new ByteAccount(gateway.requestTotalBytes),
       unsent: new UnsentRequests({
         upstreamBytes: gateway.unsentUpstreamBytes,
