--- a/packages/bench/src/gateways/gateway_caller.ts
+++ b/packages/bench/src/gateways/gateway_caller.ts
@@ -7,7 +7,7 @@
 export interface CallRequest {
   readonly callId: string;
   readonly path: string;
-  readonly body?: string;
+  readonly body?: string | Uint8Array;
   readonly headers?: Readonly<Record<string, string>>;
   /** Open connection to use; by default a new one. */
   readonly connection?: Socket;
--- a/packages/bench/src/gateways/start_test_site.ts
+++ b/packages/bench/src/gateways/start_test_site.ts
@@ -20,6 +20,8 @@
   readonly proxied?: boolean;
   /** Largest internal frame, bytes; by default that of the settings schema. */
   readonly maxFrameBytes?: number;
+  /** Options of Node.js for all daemons. */
+  readonly nodeOptions?: readonly string[];
   /** Path of a module that stores load before their own code. */
   readonly preloadedByStores?: string;
   /** Additional keys of the gateways' settings. */
@@ -57,7 +59,8 @@
 ): Promise<TestSite> {
   const { gateways = 1, stores = 3, waitMilliseconds, proxied } = plan;
   const { maxFrameBytes, gatewaySettings, document = TEST_DOCUMENT } = plan;
-  const { preloadedByStores, stopMilliseconds, gatewayRoles } = plan;
+  const { preloadedByStores, stopMilliseconds, gatewayRoles, nodeOptions } =
+    plan;
   const upstreams = Array.from(
     { length: plan.upstreams ?? 1 },
     (_, index) => new OpaqueUpstream(`u-${index + 1}`),
@@ -82,6 +85,7 @@
       maxFrameBytes,
       gatewaySettings,
       preloadedByStores,
+      nodeOptions,
       stopMilliseconds,
       gatewayRoles,
     },
--- a/packages/gateway/src/http/caller_server.ts
+++ b/packages/gateway/src/http/caller_server.ts
@@ -4,7 +4,6 @@
  * framework would alter them.
  */
 
-import type { Buffer } from "node:buffer";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import { performance } from "node:perf_hooks";
@@ -19,6 +18,7 @@
   OrderedServer,
   type Outcome,
   RESULT_CODES,
+  type ResultCode,
   type RoutingLimits,
   sleep,
 } from "@mallowlift/core";
@@ -26,7 +26,8 @@
 import { Err, Ok } from "ts-results";
 import { OpenCall } from "../calls/open_call.ts";
 import type { UnreadAnswers } from "../calls/unread_answers.ts";
-import type { CallerDialect } from "../dialect.ts";
+import type { CallerDialect, CallFacts, CallHead } from "../dialect.ts";
+import type { RequestBody } from "../memory/request_body.ts";
 import { chooseService, type RouteTable } from "../routing/route_table.ts";
 import {
   type Admission,
@@ -36,10 +37,9 @@
 } from "../workspaces/key_admission.ts";
 import { WorkspaceFailures } from "../workspaces/workspace_failures.ts";
 import { CallerStop, type WaitingRequest } from "./caller_stop.ts";
-import { discardBody } from "./discard_body.ts";
-import { readBody } from "./read_body.ts";
+import { refuseRequest } from "./refuse_request.ts";
+import type { RequestBodies } from "./request_bodies.ts";
 import { StopSchedule } from "./stop_schedule.ts";
-import { writeGatewayAnswer } from "./write_gateway_answer.ts";
 
 /**
  * Largest head of a request, bytes; the limit of the routing document is
@@ -61,6 +61,12 @@
  */
 const STOP_QUIET_POLLS = 2;
 
+/** Refusals after which the rest of the body is not worth its connection. */
+const CLOSING_CODES: ReadonlySet<ResultCode> = new Set([
+  RESULT_CODES.BODY_TOO_LARGE,
+  RESULT_CODES.BODY_TIMEOUT,
+]);
+
 /** Options of {@linkcode CallerServer}. */
 export interface CallerServerOptions {
   readonly listen: string;
@@ -73,6 +79,7 @@
   readonly dialect: CallerDialect;
   readonly getRoutes: () => RouteTable | undefined;
   readonly admission: KeyAdmission;
+  readonly bodies: RequestBodies;
   readonly run: (call: OpenCall) => Promise<void>;
   /** Unread bytes of all calls. */
   readonly unread: UnreadAnswers<OpenCall>;
@@ -200,7 +207,7 @@
     const waiting = { request, response, arrivedAt };
     this.#waiting.add(waiting);
     const call = await this.#openCall(waiting);
-    if (call.err) await this.#refuse(request, response, call.val);
+    if (call.err) this.#refuse(request, response, call.val);
     this.#waiting.delete(waiting);
     if (call.err) return;
     // A complete answer may still have to be sent when its call has ended.
@@ -225,48 +232,56 @@
    */
   async #openCall(parts: WaitingRequest): Promise<Outcome<OpenCall>> {
     const { request } = parts;
-    const { admission } = this.#options;
-    const facts = describeRequest(request);
+    const { bodies, dialect } = this.#options;
     // Admission may wait for a newer document: callers retry only a few times,
     // and a document arrives soon after a start or a change. A gateway that
     // resumes after a pause requests it within milliseconds.
-    const first = await admission.admit(facts);
+    const first = await this.#admit(parts);
     if (first.err) return first;
-    const early = this.#findStopRefusal(parts, first.val);
-    if (early !== undefined) return Err(early);
     const { limits } = first.val.table.document;
     this.#applyLimits(limits);
-    const body = await readBody(request, limits.maxBodyBytes);
+    const head = describeHead(request);
+    const call = dialect.readCall(head);
+    if (call.err) return call;
+    const body = await bodies.read({
+      ...parts,
+      admission: first.val,
+      facts: call.val,
+    });
     if (body.err) return body;
-    const admitted = await admission.admit(facts);
-    if (admitted.err) return admitted;
-    const late = this.#findStopRefusal(parts, admitted.val);
-    if (late !== undefined) return Err(late);
-    this.#stop?.recordAccepted();
-    return this.#createCall({
+    const admitted = await this.#admit(parts);
+    const opened = admitted.err ? admitted : this.#createCall({
       ...parts,
+      head,
+      facts: call.val,
       body: body.val,
       admission: admitted.val,
     });
+    if (opened.err) body.val.release(performance.now());
+    else this.#stop?.recordAccepted();
+    return opened;
   }
 
-  /** Why a stop does not admit a request; undefined if it is admitted. */
-  #findStopRefusal(
-    parts: WaitingRequest,
-    admission: Admission,
-  ): CodedError | undefined {
-    return this.#stop?.findRefusal(parts, admission, performance.now());
+  /** Admits a request, unless a stop leaves too little time for it. */
+  async #admit(parts: WaitingRequest): Promise<Outcome<Admission>> {
+    const facts = describeRequest(parts.request);
+    const admitted = await this.#options.admission.admit(facts);
+    if (admitted.err) return admitted;
+    const now = performance.now();
+    const refusal = this.#stop?.findRefusal(parts, admitted.val, now);
+    return refusal === undefined ? admitted : Err(refusal);
   }
 
   #createCall(parts: {
-    readonly request: IncomingMessage;
+    readonly head: CallHead;
+    readonly facts: CallFacts;
     readonly response: ServerResponse;
     readonly arrivedAt: number;
-    readonly body: Buffer;
+    readonly body: RequestBody;
     readonly admission: Admission;
   }): Outcome<OpenCall> {
-    const { request, response, arrivedAt, body, admission } = parts;
-    const { dialect, random, maxRequests } = this.#options;
+    const { head, facts, response, arrivedAt, body, admission } = parts;
+    const { random, maxRequests } = this.#options;
     if (this.#server.openRequests > maxRequests) {
       return fail(
         RESULT_CODES.OVERLOADED,
@@ -274,18 +289,11 @@
         STALE_RETRY_MILLISECONDS,
       );
     }
-    const head = {
-      method: request.method ?? "GET",
-      target: request.url ?? "/",
-      headers: request.rawHeaders,
-    };
-    const facts = dialect.readCall(head);
-    if (facts.err) return facts;
     return Ok(
       new OpenCall({
         ...admission,
         head,
-        facts: facts.val,
+        facts,
         body,
         service: chooseService(admission.route, random()),
         response,
@@ -300,25 +308,18 @@
     this.#server.keepAliveTimeout = limits.idleTimeoutMilliseconds;
   }
 
-  async #refuse(
+  #refuse(
     request: IncomingMessage,
     response: ServerResponse,
     error: CodedError,
-  ): Promise<void> {
-    // The answer of a stopping gateway closes the connection.
-    const isTooLarge = error.code === RESULT_CODES.BODY_TOO_LARGE;
-    if (this.#stop !== undefined && !isTooLarge) await discardBody(request);
+  ): void {
     // The end of a stop may have answered it.
-    if (response.writableEnded) return;
+    if (response.headersSent) return;
     if (error.code === RESULT_CODES.DRAINING) this.#stop?.recordRefused();
     const { dialect, logger, metrics } = this.#options;
     countRefusal(metrics, "gateway", error.code);
     if (error.code === RESULT_CODES.CALLER_LEFT) return;
-    const facts = dialect.readCall({
-      method: request.method ?? "",
-      target: request.url ?? "",
-      headers: request.rawHeaders,
-    });
+    const facts = dialect.readCall(describeHead(request));
     logger.info("Request refused", {
       call: facts.ok ? facts.val.callId : "",
       program: facts.ok ? facts.val.programId : "",
@@ -328,11 +329,14 @@
       version: this.#options.getRoutes()?.document.version ?? -1,
       document_age_ms: this.#findDocumentAge(),
     });
-    // With other errors, the rest of the body is read and discarded: closing a
-    // connection with unread bytes resets it, and the caller would lose the
-    // answer.
-    if (isTooLarge) response.setHeader("Connection", "close");
-    writeGatewayAnswer(response, dialect.writeFailure(error));
+    if (CLOSING_CODES.has(error.code)) {
+      response.setHeader("Connection", "close");
+    }
+    const limits = this.#options.getRoutes()?.document.limits ?? INITIAL_LIMITS;
+    refuseRequest(request, response, {
+      answer: dialect.writeFailure(error),
+      maxBytes: limits.maxBodyBytes,
+    });
   }
 
   #recordEnd(call: OpenCall): void {
@@ -369,3 +373,11 @@
     return Math.round(this.#options.findDocumentAge(performance.now()));
   }
 }
+
+function describeHead(request: IncomingMessage): CallHead {
+  return {
+    method: request.method ?? "GET",
+    target: request.url ?? "/",
+    headers: request.rawHeaders,
+  };
+}
--- a/packages/gateway/src/http/caller_stop.ts
+++ b/packages/gateway/src/http/caller_stop.ts
@@ -14,8 +14,8 @@
 import type { CallerDialect } from "../dialect.ts";
 import { isRepeatable } from "../routing/repeatable.ts";
 import type { Admission } from "../workspaces/key_admission.ts";
+import { refuseRequest } from "./refuse_request.ts";
 import { StopSchedule } from "./stop_schedule.ts";
-import { writeGatewayAnswer } from "./write_gateway_answer.ts";
 
 /**
  * Time that aborted calls have to answer by themselves, ms. Those that wait for
@@ -171,7 +171,8 @@
       headers: request.rawHeaders,
     });
     const answer = dialect.writeFailure(createDrainingError());
-    writeGatewayAnswer(response, answer);
+    // The end of the stop bounds what is read of its body.
+    refuseRequest(request, response, { answer, maxBytes: Infinity });
     this.#count(STOP_OUTCOMES.NOT_RUN);
     this.#log({
       call: facts.ok ? facts.val.callId : "",
