An answer whose head has lost bytes is a failure

Callers saw a 200 with an empty, short or foreign body where the head of an upstream's answer had lost bytes and its blank line had arrived. A header with a control character, or a bracket in its name, on a plain route closed the caller's connection without an answer; on a route that streams it ended the gateway with every open request, since Node.js threw as the head was passed on.

Cause: http-parser-js skips lines that are no headers, joins folded lines to the header before, takes any text behind three digits as a reason, any line end, and the last of several codings. The framing was judged by what was left. A Content-Length that had lost digits ended the body early; what came behind it closed the connection, after the answer was reported as whole.

Change: each line of a head is checked as it is read; a head ends its lines with CR LF or with LF, not both; the last part of a body with a length is spoiled if bytes follow that begin no other answer.

A complete head without framing lines whose connection ends in order cannot be told from a cut one; a test asserts that a plain one gets no framing of ours. Bytes behind a shortened length that arrive in a later read are not seen.

--- a/packages/gateway/src/upstreams/answer_parser.ts
+++ b/packages/gateway/src/upstreams/answer_parser.ts
@@ -12,6 +12,11 @@
   type AnswerFraming,
   findFraming,
 } from "./answer_framing.ts";
+import {
+  checkHeadLines,
+  type LineSource,
+  mayBeginAnswer,
+} from "./head_lines.ts";
 
 const LENGTH_PATTERN = /^\d{1,15}$/;
 /** Longest line of a chunk's head or of the trailers, bytes. */
@@ -40,14 +45,13 @@
 }
 
 /** The parts of http-parser-js that its types do not declare. */
-interface LineParser {
+interface LineParser extends LineSource {
   state: string;
-  /** The beginning of a line whose rest has not arrived. */
-  line: string;
+  /** Index in the chunk behind its last byte. */
+  readonly end: number;
   /** Bytes that count towards the largest head. */
   headerSize: number;
   body_bytes: number;
-  consumeLine(): string | undefined;
   nextRequest(): void;
   BODY_CHUNKHEAD(): void;
   BODY_CHUNKTRAILERS(): void;
@@ -108,6 +112,7 @@
   constructor(listener: AnswerParserListener) {
     const parser = this.#parser;
     replaceChunkStates(this.#lines);
+    checkHeadLines(this.#lines);
     parser[HTTPParser.kOnHeadersComplete] = (info) => {
       const headers = info.headers;
       this.#isInAnswer = true;
@@ -125,6 +130,7 @@
     };
     parser[HTTPParser.kOnBody] = (chunk, offset, length) => {
       this.#bodyBytes += length;
+      this.#framingError ??= this.#findSurplus(length);
       if (this.#framingError === undefined) {
         listener.onBody(chunk.subarray(offset, offset + length));
       }
@@ -159,6 +165,19 @@
     return this.#framingError ?? this.#findExcess();
   }
 
+  /**
+   * Returns a message if the last part of a body with a length is followed by
+   * bytes that begin no other answer: its length may have lost digits.
+   */
+  #findSurplus(partBytes: number): string | undefined {
+    const { state, body_bytes: missingBytes, chunk, offset, end } = this.#lines;
+    if (state !== "BODY_SIZED" || partBytes < missingBytes) return undefined;
+    if (mayBeginAnswer(chunk.subarray(offset + partBytes, end))) {
+      return undefined;
+    }
+    return "The answer is longer than its Content-Length";
+  }
+
   /** Returns a message if an answer consists of too much besides its body. */
   #findExcess(): string | undefined {
     const { state, line } = this.#lines;
@@ -188,6 +207,9 @@
 function findFramingError(headers: readonly string[]): string | undefined {
   const length = findHeader(headers, "content-length");
   const coding = findHeader(headers, "transfer-encoding");
+  if (countHeaders(headers, "transfer-encoding") > 1) {
+    return "The answer has several Transfer-Encoding headers";
+  }
   if (length !== undefined && !LENGTH_PATTERN.test(length)) {
     return "The Content-Length of the answer is not a number";
   }
@@ -199,3 +221,11 @@
   }
   return undefined;
 }
+
+function countHeaders(headers: readonly string[], name: string): number {
+  let count = 0;
+  for (let index = 0; index < headers.length; index += 2) {
+    if (headers[index]?.toLowerCase() === name) count++;
+  }
+  return count;
+}
--- a/packages/mocks/src/mod.ts
+++ b/packages/mocks/src/mod.ts
@@ -6,5 +6,6 @@
 export * from "./proxy/fault_proxy.ts";
 export * from "./service/fake_service.ts";
 export * from "./opaque/opaque_upstream.ts";
+export * from "./opaque/cut_heads.ts";
 export * from "./opaque/endless_answers.ts";
 export * from "./opaque/unruly_upstream.ts";
--- a/packages/mocks/src/opaque/unruly_upstream.ts
+++ b/packages/mocks/src/opaque/unruly_upstream.ts
@@ -11,6 +11,7 @@
   type Socket,
 } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
+import { CUT_HEADS, type CutHeadKind } from "./cut_heads.ts";
 import { ENDLESS_ANSWERS, type EndlessKind } from "./endless_answers.ts";
 
 const HEAD_END = "\r\n\r\n";
@@ -31,6 +32,12 @@
   readonly endless: EndlessKind;
   /** True to send an answer without a body that its connection ends. */
   readonly isUnframed?: boolean;
+  /** An answer that is sent in place of the own one; its connection ends then. */
+  readonly head?: CutHeadKind;
+  /** True to end that connection with a reset. */
+  readonly resets?: boolean;
+  /** Type of that answer; text/plain by default. */
+  readonly type?: string;
 }
 
 /** A step without a fault. */
@@ -164,6 +171,9 @@
     if (step.delayMilliseconds > 0) await sleep(step.delayMilliseconds);
     const bytes = this.#formatAnswer(callId, step);
     this.#script.recordAnswer(callId, { upstream: this.id, socket, bytes });
+    if (step.head !== undefined) {
+      return this.#sendCutHead(socket, callId, step);
+    }
     if (step.fault === "endless") {
       return this.#sendEndless(socket, callId, step);
     }
@@ -221,6 +231,16 @@
     socket.write(bytes);
   }
 
+  /** Sends an answer whose head has lost bytes, and ends the connection. */
+  #sendCutHead(socket: Socket, callId: string, step: UnrulyStep): void {
+    if (step.head === undefined) return;
+    const { type = "text/plain", head, resets = false } = step;
+    const text = CUT_HEADS[head].write(callId, `Content-Type: ${type}`);
+    if (!resets) return void socket.end(text);
+    if (text !== "") socket.write(text);
+    socket.resetAndDestroy();
+  }
+
   /** Sends bytes until the caller closes the connection. */
   #sendEndless(socket: Socket, callId: string, step: UnrulyStep): void {
     const { start, repeat } = ENDLESS_ANSWERS[step.endless];
