One end for the stop of all roles of a daemon

Each role that is stopped by a daemon counted its own stop_milliseconds from its own turn, and only the gateway heeded kill_seconds. The end is now computed from the time of the stop signal and handed to every role; prepareStop announces it to all roles before the first is stopped. Roles that have started are stopped in order also when the daemon is still starting.

A repeated SIGTERM no longer ends the process amid its stop; it is logged.

--- a/packages/boot/src/boot_daemon.ts
+++ b/packages/boot/src/boot_daemon.ts
@@ -1,5 +1,6 @@
 /** Opens the port for callers, then loads and runs the daemon. */
 
+import { performance } from "node:perf_hooks";
 import process from "node:process";
 import {
   findCallersAddress,
@@ -12,15 +13,16 @@
 export interface BootResult {
   /** Port for callers; undefined if the settings name none or it cannot be opened. */
   readonly heldPort: HeldPort | undefined;
-  /** Resolves when the process is asked to stop, even while it is still starting. */
-  readonly stopRequested: Promise<void>;
+  /**
+   * Resolves when the process is asked to stop, even while it is still starting,
+   * with the time of the request by the local clock (`performance.now`), ms.
+   */
+  readonly stopRequested: Promise<number>;
 }
 
 /** Runs a daemon with the results of the boot. */
 export type DaemonMain = (boot: BootResult) => void;
 
-const STOP_SIGNALS = ["SIGTERM", "SIGINT"] as const;
-
 /**
  * Boots a daemon. Its code is loaded only after the port is open, so that
  * callers can connect during the load.
@@ -31,8 +33,12 @@
  * ```
  */
 export async function bootDaemon(load: () => DaemonMain): Promise<void> {
-  const stopRequested = new Promise<void>((resolve) => {
-    for (const signal of STOP_SIGNALS) process.once(signal, () => resolve());
+  const stopRequested = new Promise<number>((resolve) => {
+    const request = () => resolve(performance.now());
+    // Without a handler, a repeated SIGTERM would end the process amid its stop.
+    process.on("SIGTERM", request);
+    // A second SIGINT ends the process at once.
+    process.once("SIGINT", request);
   });
   // Without a handler, SIGHUP would end the process. It can be ignored here,
   // because the settings are read later.
--- a/packages/boot/src/save_code.ts
+++ b/packages/boot/src/save_code.ts
@@ -28,7 +28,7 @@
   process.argv.splice(2, Infinity, "--settings", path);
   (script.exports as { readonly main: DaemonMain }).main({
     heldPort: undefined,
-    stopRequested: new Promise<void>(() => undefined),
+    stopRequested: new Promise<number>(() => undefined),
   });
   setTimeout(() => {
     script.saveCodeCache();
--- a/packages/core/src/supervisor/supervisor.ts
+++ b/packages/core/src/supervisor/supervisor.ts
@@ -20,8 +20,20 @@
   readonly ended?: Promise<void>;
   /** True if a failure of the child must end the process. */
   readonly isFatal?: boolean;
-  /** Stops the child after it has finished its open work. */
-  stop(): Promise<void>;
+  /**
+   * Called for all children before the first of them is stopped, with the end
+   * that all share, by the local clock (`performance.now`), ms. The child still
+   * serves, but starts nothing that it cannot finish by then.
+   */
+  prepareStop?(endAt: number): void;
+  /**
+   * Stops the child after it has finished its open work; what is still open
+   * shortly before the end is ended with an answer.
+   *
+   * @param endAt when the child must have stopped, by the local clock
+   *   (`performance.now`), ms
+   */
+  stop(endAt: number): Promise<void>;
 }
 
 /** Creates a child; called again for each restart. */
@@ -47,7 +59,8 @@
   readonly #slots: Slot[] = [];
   readonly #ended: Deferred<Error> = createDeferred<Error>();
   #restartTimes: number[] = [];
-  #stopping = false;
+  /** When the children must have stopped; undefined until a stop begins. */
+  #endAt: number | undefined;
 
   constructor(name: string, options: SupervisorOptions) {
     this.name = name;
@@ -74,19 +87,30 @@
     for (const slot of this.#slots) await this.#startSlot(slot);
   }
 
-  /** Stops the children in reverse order. */
-  async stop(): Promise<void> {
-    this.#stopping = true;
+  /** Announces the stop to the children that have started. */
+  prepareStop(endAt: number): void {
+    this.#endAt = endAt;
+    for (const { child } of this.#slots) child?.prepareStop?.(endAt);
+  }
+
+  /**
+   * Stops the children in reverse order, all by the same end. A child that is
+   * still starting is stopped once it has started, and no other one is started.
+   */
+  async stop(endAt: number): Promise<void> {
+    this.prepareStop(endAt);
     for (const slot of this.#slots.toReversed()) {
       const child = slot.child;
       slot.child = undefined;
-      if (child !== undefined) await child.stop();
+      if (child !== undefined) await child.stop(endAt);
     }
   }
 
   async #startSlot(slot: Slot): Promise<void> {
+    if (this.#endAt !== undefined) return;
     const child = slot.factory();
     await child.start();
+    if (this.#endAt !== undefined) return await child.stop(this.#endAt);
     slot.child = child;
     this.#options.logger.debug("Child started", { child: child.name });
     // Reads the property once: a child may create a promise on each access, and
@@ -100,7 +124,7 @@
       () => "ended",
       (thrown) => toCodedError(thrown).message,
     );
-    if (this.#stopping) return;
+    if (this.#endAt !== undefined) return;
     const name = slot.child?.name ?? "";
     this.#options.logger.error("Child failed", { child: name, reason });
     if (slot.child?.isFatal === true) {
--- a/packages/core/src/supervisor/supervisor_test.ts
+++ b/packages/core/src/supervisor/supervisor_test.ts
@@ -28,7 +28,7 @@
   supervisor.add(() => createChild("first", events));
   supervisor.add(() => createChild("second", events));
   await supervisor.start();
-  await supervisor.stop();
+  await supervisor.stop(0);
   t.same(events, ["start first", "start second", "stop second", "stop first"]);
 });
 
@@ -76,5 +76,5 @@
   }));
   await supervisor.start();
   t.equal(reads, 1);
-  await supervisor.stop();
+  await supervisor.stop(0);
 });
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -27,6 +27,7 @@
 import type { LiveSettings } from "./live_settings.ts";
 import { HealthServer, type RoleHealth } from "./health_server.ts";
 import { StallWatch } from "./stall_watch.ts";
+import { findStopEnd } from "./stop_end.ts";
 import { TOKENS } from "./tokens.ts";
 
 const MAX_RESTARTS = 3;
@@ -50,7 +51,6 @@
   readonly #server: PeerServer;
   #address = "";
   #stopping = false;
-  #isStarted = false;
 
   constructor(
     @inject(TOKENS.SETTINGS) private readonly settings: Settings,
@@ -83,11 +83,6 @@
     return this.#supervisor.ended;
   }
 
-  /** True once every role has started. */
-  get isStarted(): boolean {
-    return this.#isStarted;
-  }
-
   /** Starts the health server, the server for other daemons, and the roles. */
   async start(): Promise<void> {
     const health = new HealthServer({
@@ -105,21 +100,28 @@
     if (task !== undefined) this.#supervisor.add(() => task);
     for (const role of this.#roles) this.#supervisor.add(() => role);
     await this.#supervisor.start();
-    this.#isStarted = true;
+    if (this.#stopping) return;
     this.logger.info("Started", {
       name: this.settings.daemon.name,
       address: this.#address,
     });
   }
 
-  /** Stops the roles in reverse order; each first waits for its open requests. */
-  async stop(): Promise<void> {
+  /**
+   * Stops the roles in reverse order; each first waits for its open requests.
+   * All share one end, which counts from the request to stop.
+   *
+   * @param requestedAt when the stop was requested, by the local clock, ms
+   */
+  async stop(requestedAt: number): Promise<void> {
     this.#stopping = true;
+    const endAt = findStopEnd(this.settings.daemon, requestedAt);
     this.logger.info("Stopping");
+    this.#supervisor.prepareStop(endAt);
     await new Promise((resolve) =>
       setTimeout(resolve, STOP_DELAY_MILLISECONDS)
     );
-    await this.#supervisor.stop();
+    await this.#supervisor.stop(endAt);
     this.links.stop();
     this.logger.info("Stopped");
   }
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -29,7 +29,7 @@
 /** Longest wait for the last log lines to be written, ms: a full pipe must not delay the exit. */
 const LOG_FLUSH_TIMEOUT_MILLISECONDS = 200;
 
-/** Longest time that a start may continue after a stop request, ms: much longer than a usual start. */
+/** Longest time that a stop waits for the start to end, ms: much longer than a usual start. */
 const START_GRACE_MILLISECONDS = 2_000;
 
 interface CommandLineOptions {
@@ -114,23 +114,32 @@
   );
   registerDependencies(settings, logger);
   const daemon = container.resolve(Daemon);
-  void options.boot.stopRequested.then(async () => {
-    // A start that waits for a slow disk must not delay the exit any longer.
-    await sleep(START_GRACE_MILLISECONDS);
-    if (!daemon.isStarted) await exit(EXIT_CODES.OK);
+  let isStopping = false;
+  const fail = async (thrown: unknown) => {
+    const code = reportFailure(logger, thrown);
+    // A role that has started may still answer its open requests.
+    if (!isStopping) await exit(code);
+  };
+  const started = daemon.start();
+  void options.boot.stopRequested.then(async (requestedAt) => {
+    isStopping = true;
+    process.on("SIGTERM", () => logger.warn("Stop signal ignored"));
+    // A start that waits for a slow disk must not delay the stop any longer.
+    await Promise.race([
+      started.catch(() => undefined),
+      sleep(START_GRACE_MILLISECONDS),
+    ]);
+    await daemon.stop(requestedAt);
+    await exit(EXIT_CODES.OK);
   });
   try {
-    await daemon.start();
+    await started;
   } catch (thrown) {
-    return await exit(reportFailure(logger, thrown));
+    return await fail(thrown);
   }
   liveSettings.watch();
   process.on("SIGHUP", () => liveSettings.reload());
-  void options.boot.stopRequested.then(async () => {
-    await daemon.stop();
-    await exit(EXIT_CODES.OK);
-  });
-  daemon.ended.catch((thrown) => exit(reportFailure(logger, thrown)));
+  daemon.ended.catch(fail);
 }
 
 function registerDependencies(settings: Settings, logger: Logger): void {
--- a/packages/entry/src/entry_role.ts
+++ b/packages/entry/src/entry_role.ts
@@ -109,9 +109,9 @@
   }
 
   /** Rejects new requests and waits for those in flight, up to a timeout. */
-  async stop(): Promise<void> {
+  async stop(endAt: number): Promise<void> {
     this.#draining = true;
-    const timeout = this.#options.settings.daemon.stopMilliseconds;
+    const timeout = Math.max(0, endAt - performance.now());
     await this.#server.stop({ timeout });
     this.#follower.stop();
   }
--- a/packages/gateway/src/gateway_role.ts
+++ b/packages/gateway/src/gateway_role.ts
@@ -52,10 +52,6 @@
 const CLEANUP_INTERVAL_MILLISECONDS = 250;
 /** Largest age of a gateway's last heartbeat at which it is counted. */
 const MAX_HEARTBEAT_AGE_MILLISECONDS = 5_000;
-/**
- * Time reserved for the last steps of a stop before the process is killed, ms.
- */
-const KILL_MARGIN_MILLISECONDS = 1_200;
 
 /** Options of {@linkcode GatewayRole}. */
 export interface GatewayRoleOptions {
@@ -250,15 +246,11 @@
   }
 
   /** Waits for open requests, then stops. */
-  async stop(): Promise<void> {
-    const { daemon, gateway } = this.#options.settings;
-    const killMilliseconds = daemon.killSeconds * 1_000 -
-      KILL_MARGIN_MILLISECONDS;
+  async stop(endAt: number): Promise<void> {
+    const { drainMilliseconds } = this.#options.settings.gateway;
     await this.#callerServer.stop({
-      minMilliseconds: gateway.drainMilliseconds,
-      maxMilliseconds: daemon.killSeconds > 0
-        ? Math.min(daemon.stopMilliseconds, killMilliseconds)
-        : daemon.stopMilliseconds,
+      minMilliseconds: drainMilliseconds,
+      maxMilliseconds: Math.max(0, endAt - performance.now()),
     });
     await Promise.race([
       this.#operatorServer.stop({ timeout: 100 }),
--- a/packages/sidecar/src/sidecar_role.ts
+++ b/packages/sidecar/src/sidecar_role.ts
@@ -1,5 +1,6 @@
 /** The sidecar role: runs beside one upstream and is the only access to it. */
 
+import { performance } from "node:perf_hooks";
 import { ConfigurationFollower } from "@mallowlift/configuration";
 import {
   ABORTED,
@@ -130,13 +131,12 @@
   }
 
   /** Rejects new attempts, waits for pending ones, then stops all tasks. */
-  async stop(): Promise<void> {
+  async stop(endAt: number): Promise<void> {
     this.#isStopping = true;
     this.#table.setDraining(true);
     this.#reporter.reportNow();
-    const deadline = Date.now() +
-      this.#options.settings.daemon.stopMilliseconds;
-    while (this.#table.pendingCount > 0 && Date.now() < deadline) {
+    const deadline = endAt - FINAL_RESPONSE_GRACE_MILLISECONDS;
+    while (this.#table.pendingCount > 0 && performance.now() < deadline) {
       await sleep(DRAIN_POLL_MILLISECONDS);
     }
     // Owners and entries still read the last answers over open connections.
