An accepted call does not end as if no owner had taken it

An entry that got NOT_LEADER from an owner takes it that the call was not accepted, and answers NO_LEADER with not_run. An owner that hands over its leadership refuses each proposal with NOT_LEADER, also the one that records the end of a call that ran. The runner now ends such a call with LEADERSHIP_LOST.

Evidence: the new test of call_runner_test failed before (NOT_LEADER in place of LEADERSHIP_LOST, after one run at the sidecar) and passes after. That a caller got not_run for a call that ran was read in the code and not seen at a site.

--- a/packages/replica/src/calls/call_runner.ts
+++ b/packages/replica/src/calls/call_runner.ts
@@ -133,7 +133,11 @@
     if (outcome.err) {
       countRefusal(this.#owner.metrics, "owner", outcome.val.code);
     }
-    this.listeners.finish(outcome);
+    // The call was accepted, so the next leader runs it or knows its end. An
+    // entry takes NOT_LEADER to mean that it was not accepted.
+    const isOwnerLost = outcome.err &&
+      outcome.val.code === RESULT_CODES.NOT_LEADER;
+    this.listeners.finish(isOwnerLost ? this.#refuseAsNotOwner() : outcome);
   }
 
   async #runAttempts(
--- a/packages/replica/src/calls/call_runner_test.ts
+++ b/packages/replica/src/calls/call_runner_test.ts
@@ -184,3 +184,29 @@
   );
   t.end();
 });
+
+// Guards against an entry that tells its caller that a call did not run (NO_LEADER)
+// while its owner hands over the leadership and refuses to record the end.
+test("an accepted call whose owner hands over does not end with NOT_LEADER", async (t) => {
+  const body: CallBody = {
+    kind: "service",
+    service: "s",
+    operation: "o",
+    payload: "{}",
+    idempotent: false,
+  };
+  const { state, program, call } = createCall(body);
+  const sidecar = new ScriptedSidecar([STEPS.ANSWERS]);
+  const owner = createOwner(state, sidecar);
+  const runner = new CallRunner({
+    ...owner,
+    propose: (command) =>
+      command.type === "end_call"
+        ? Promise.resolve(fail(RESULT_CODES.NOT_LEADER, "Handing over"))
+        : owner.propose(command),
+  }, { program, call, told: "" });
+  await runner.run("send");
+  const outcome = await runner.listeners.end;
+  t.equal(sidecar.runs, 1);
+  t.equal(outcome.err && outcome.val.code.name, "LEADERSHIP_LOST");
+});
