A reply or call larger than an internal frame fails alone

A peer closes the connection over a frame that is too large, and with it every other call of the two daemons ended with CONNECTION_LOST. A sender now checks the size: a call is not sent (FRAME_TOO_LARGE), and a reply becomes an error (INTERNAL, since the call may have run).

--- a/packages/replica/src/calls/run_attempt.ts
+++ b/packages/replica/src/calls/run_attempt.ts
@@ -27,6 +27,7 @@
   RESULT_CODES.STALE_TERM,
   RESULT_CODES.NO_UPSTREAM,
   RESULT_CODES.NOT_CONNECTED,
+  RESULT_CODES.FRAME_TOO_LARGE,
 ];
 
 /** An attempt at a sidecar, with the time limits for requests about it. */
--- a/packages/transport/src/connection.ts
+++ b/packages/transport/src/connection.ts
@@ -28,6 +28,7 @@
   encodeFrame,
   type Frame,
   type FrameReader,
+  LENGTH_BYTES,
 } from "./frame.ts";
 import type {
   CallContext,
@@ -78,6 +79,12 @@
   "The call was cancelled",
 );
 
+/** Outcome of a call whose reply cannot be sent. */
+const LARGE_REPLY = fail(
+  RESULT_CODES.INTERNAL,
+  "The reply is larger than an internal frame",
+);
+
 interface PendingCall {
   readonly done: Deferred<Outcome<unknown>>;
   readonly onChunk: ((chunk: never) => void) | undefined;
@@ -167,7 +174,7 @@
     };
     this.#pending.set(id, pending);
     const now = performance.now();
-    pending.bytes = this.#send({
+    const frame = encodeFrame({
       type: "call",
       id,
       name,
@@ -175,6 +182,14 @@
       timeout: Math.ceil(options.timeoutMilliseconds),
       body: request,
     });
+    if (!this.#fits(frame)) {
+      this.#pending.delete(id);
+      return fail(
+        RESULT_CODES.FRAME_TOO_LARGE,
+        `Call ${name} is larger than an internal frame and was not sent`,
+      );
+    }
+    pending.bytes = this.#write(frame);
     this.#expectData(now);
     const abandon = (outcome: Outcome<never>) => {
       if (!this.#pending.delete(id)) return;
@@ -258,8 +273,21 @@
     scheduleChecks();
   }
 
+  /**
+   * Returns true if the peer accepts a frame of this size. A larger one would
+   * close the connection, and with it end all other calls.
+   */
+  #fits(frame: Buffer): boolean {
+    return frame.length - LENGTH_BYTES <= this.#options.reader.maxBytes;
+  }
+
   /** Sends a frame and returns its size; 0 if it is not sent. */
   #send(frame: Frame): number {
+    return this.#open ? this.#write(encodeFrame(frame)) : 0;
+  }
+
+  /** Writes an encoded frame and returns its size; 0 if it is not sent. */
+  #write(bytes: Buffer): number {
     if (!this.#open) return 0;
     const socket = this.#options.socket;
     if (socket.writableLength > MAX_UNSENT_BYTES) {
@@ -277,7 +305,6 @@
         socket.uncork();
       });
     }
-    const bytes = encodeFrame(frame);
     this.#corkedBytes += bytes.length;
     socket.write(bytes);
     return bytes.length;
@@ -350,10 +377,16 @@
     this.#running.delete(frame.id);
     if (served.isAborted) return;
     if (outcome.ok) {
-      this.#send({ type: "reply", id: frame.id, body: outcome.val });
-      return;
+      const reply = encodeFrame({
+        type: "reply",
+        id: frame.id,
+        body: outcome.val,
+      });
+      if (this.#fits(reply)) return void this.#write(reply);
     }
-    this.#send({ type: "error", id: frame.id, body: encodeError(outcome.val) });
+    // FRAME_TOO_LARGE would say that the call has not run.
+    const error = outcome.ok ? LARGE_REPLY.val : outcome.val;
+    this.#send({ type: "error", id: frame.id, body: encodeError(error) });
   }
 
   #findAge({ sentAt }: Frame, readAt: number): number {
--- a/packages/transport/src/frame.ts
+++ b/packages/transport/src/frame.ts
@@ -5,7 +5,8 @@
 import { fail, type Outcome, RESULT_CODES } from "@mallowlift/core";
 import { Ok } from "ts-results";
 
-const LENGTH_BYTES = 4;
+/** Size of the length before the payload of a frame, bytes. */
+export const LENGTH_BYTES = 4;
 
 /** Version of the protocol between mallowlift processes. */
 export const PROTOCOL_VERSION = 1;
@@ -53,6 +54,11 @@
     this.#maxBytes = maxBytes;
   }
 
+  /** Maximum size of the payload of a frame, bytes. */
+  get maxBytes(): number {
+    return this.#maxBytes;
+  }
+
   /** Changes the frame size limit, once the peer has proved that it knows the shared key. */
   setLimit(maxBytes: number): void {
     this.#maxBytes = maxBytes;
