A sidecar that stops gives its attempts back, and bounds what it keeps

At the end of its stop a sidecar cut what still ran, and its queued attempts had waited until then: their owners searched for them, and writes that had never started ended as OUTCOME_UNKNOWN. Queued attempts now end at once with DRAINING, and their owners place them elsewhere. Shortly before the end, running ones are aborted at the upstream and end with a result that does not rule out that they ran. A line and a counter name each.

Finished answers were kept for keep_milliseconds without a bound in bytes, each with its request. Requests are released at the end of an attempt now, and sidecar.kept_total_bytes bounds the rest: finished answers are discarded, those of calls that may be repeated first, and an attempt that does not fit beside those that run is refused (QUEUE_FULL). A discarded attempt stays known: an owner learns that it may have run, and never that it did not, after which it would run it again.

The unit tests of attempt_table_test are new; the methods that they call did not exist before.

--- a/packages/core/src/metrics/metrics.ts
+++ b/packages/core/src/metrics/metrics.ts
@@ -72,6 +72,9 @@
   readonly unreadBytes: Gauge;
   readonly unsentBytes: Gauge;
   readonly slowCallers: Counter<"reason">;
+  readonly heldBytes: Gauge<"part">;
+  readonly discardedAnswers: Counter<"kind">;
+  readonly stoppedRequests: Counter<"part" | "code">;
 }
 
 /** Creates the metrics of a daemon in a registry of their own. */
@@ -284,6 +287,24 @@
       labelNames: ["reason"],
       registers,
     }),
+    heldBytes: new Gauge({
+      name: "mallowlift_held_bytes",
+      help: "Bytes of requests and answers that are held, by part",
+      labelNames: ["part"],
+      registers,
+    }),
+    discardedAnswers: new Counter({
+      name: "mallowlift_discarded_answers_total",
+      help: "Finished answers that a sidecar discarded to free memory, by kind",
+      labelNames: ["kind"],
+      registers,
+    }),
+    stoppedRequests: new Counter({
+      name: "mallowlift_stopped_requests_total",
+      help: "Requests that a planned stop ended, by part and result code",
+      labelNames: ["part", "code"],
+      registers,
+    }),
     malformedFrames: new Counter({
       name: "mallowlift_malformed_frames_total",
       help: "Internal connections closed because of malformed frames",
--- a/packages/core/src/mod.ts
+++ b/packages/core/src/mod.ts
@@ -21,3 +21,4 @@
 export * from "./logs/log_rate_limiter.ts";
 export * from "./metrics/metrics.ts";
 export * from "./supervisor/supervisor.ts";
+export * from "./supervisor/final_answers.ts";
--- a/packages/core/src/result/result_codes.ts
+++ b/packages/core/src/result/result_codes.ts
@@ -110,6 +110,11 @@
     notRun: true,
     meaning: "Too few stores would remain.",
   }),
+  BODY_TIMEOUT: defineCode(1016, "BODY_TIMEOUT", {
+    httpStatus: 408,
+    notRun: true,
+    meaning: "The body of the request did not arrive in time.",
+  }),
   QUEUE_FULL: defineCode(2001, "QUEUE_FULL", {
     httpStatus: 503,
     notRun: true,
@@ -179,7 +184,8 @@
   OVERLOADED: defineCode(2014, "OVERLOADED", {
     httpStatus: 503,
     notRun: true,
-    meaning: "The gateway has reached its limit of open requests.",
+    meaning:
+      "The process has reached its limit of open requests or of their bytes.",
   }),
   LEADER_BUSY: defineCode(2015, "LEADER_BUSY", {
     httpStatus: 503,
--- a/packages/core/src/settings/schema.ts
+++ b/packages/core/src/settings/schema.ts
@@ -142,6 +142,18 @@
         max: 67_108_864,
       },
     ),
+    requestTotalBytes: numberField(
+      "Bytes of the bodies of all open requests; one outfit gets at most half of it.",
+      { fallback: 67_108_864, min: 1_024, max: 4_294_967_296 },
+    ),
+    unreadCallBytes: numberField(
+      "Unread bytes of a stream above which its caller is disconnected.",
+      { fallback: 4_194_304, min: 1_024, max: 1_073_741_824 },
+    ),
+    unreadTotalBytes: numberField(
+      "Unread bytes of all streams above which the slowest caller is disconnected.",
+      { fallback: 67_108_864, min: 1_024, max: 4_294_967_296 },
+    ),
     staleMilliseconds: numberField(
       "Time without a confirmed configuration after which new work is refused.",
       { fallback: 4_000, min: 200, max: 60_000 },
@@ -276,6 +288,10 @@
         max: 3_600_000,
       },
     ),
+    keptTotalBytes: numberField(
+      "Bytes of requests and answers at a sidecar above which it discards finished answers and refuses attempts.",
+      { fallback: 67_108_864, min: 1_024, max: 4_294_967_296 },
+    ),
     checksFencing: choiceField(
       "Whether the engine rejects outdated fencing numbers.",
       {
--- a/packages/sidecar/src/attempts/acceptances_test.ts
+++ b/packages/sidecar/src/attempts/acceptances_test.ts
@@ -65,6 +65,7 @@
       releaseSession: () => Promise.resolve(),
     },
     keepMilliseconds: 1_000,
+    keptTotalBytes: 1_048_576,
     logger: SILENT_LOGGER,
     metrics: createMetrics(),
   });
--- a/packages/sidecar/src/attempts/attempt.ts
+++ b/packages/sidecar/src/attempts/attempt.ts
@@ -6,19 +6,28 @@
   createDeferred,
   type Deferred,
   type DispatchRequest,
+  fail,
+  isIdempotent,
   type Outcome,
+  RESULT_CODES,
   WakeSignal,
 } from "@mallowlift/core";
 
 /** An attempt with the text received so far and, once it ended, its outcome. */
 export class Attempt {
-  readonly request: DispatchRequest;
+  /** The request; its content is released when the attempt ends. */
+  request: DispatchRequest;
   readonly arrivedAt: number;
   readonly #cancellation = new AbortController();
-  readonly #done: Deferred<Outcome<Answer>> = createDeferred<Outcome<Answer>>();
+  readonly #release = new AbortController();
+  #done: Deferred<Outcome<Answer>> = createDeferred<Outcome<Answer>>();
   readonly #progress = new WakeSignal();
   /** Text that may be sent to the caller. */
   text: string;
+  /** True once the attempt has a slot, so that it may run at the upstream. */
+  isStarted = false;
+  /** True if a stop of the sidecar ends the attempt. */
+  isStopped = false;
   outcome: Outcome<Answer> | undefined;
   endedAt = Infinity;
 
@@ -33,6 +42,11 @@
     return this.#cancellation.signal;
   }
 
+  /** Aborts when the attempt must leave the queue, by a cancellation or a stop. */
+  get queueSignal(): AbortSignal {
+    return this.#release.signal;
+  }
+
   /** Resolves with the outcome when the attempt ends. */
   get done(): Promise<Outcome<Answer>> {
     return this.#done.promise;
@@ -52,6 +66,12 @@
   /** Requests cancellation; the attempt ends later, when its run returns. */
   cancel(): void {
     this.#cancellation.abort(ABORTED);
+    this.#release.abort(ABORTED);
+  }
+
+  /** Removes the attempt from the queue; one that runs goes on. */
+  release(): void {
+    this.#release.abort(ABORTED);
   }
 
   /** Records the outcome and the time at which the attempt ended. */
@@ -60,5 +80,31 @@
     this.endedAt = now;
     this.#done.resolve(outcome);
     this.#progress.wake();
+    const { body } = this.request;
+    this.request = {
+      ...this.request,
+      told: "",
+      prompt: [],
+      body: body.kind === "model"
+        ? { ...body, messages: [] }
+        : { ...body, payload: "" },
+    };
+  }
+
+  /**
+   * Discards the answer of an attempt that has ended. Who asks for it later
+   * learns that the attempt may have run, and never that it did not.
+   */
+  discardAnswer(): void {
+    const failure = fail(
+      isIdempotent(this.request.body)
+        ? RESULT_CODES.UPSTREAM_ERROR
+        : RESULT_CODES.OUTCOME_UNKNOWN,
+      "The sidecar no longer keeps the answer",
+    );
+    if (this.outcome?.ok === true) this.outcome = failure;
+    this.text = "";
+    this.#done = createDeferred<Outcome<Answer>>();
+    this.#done.resolve(this.outcome ?? failure);
   }
 }
--- a/packages/sidecar/src/attempts/attempt_table.ts
+++ b/packages/sidecar/src/attempts/attempt_table.ts
@@ -25,6 +25,7 @@
 import type { Admission } from "./admission.ts";
 import { Attempt } from "./attempt.ts";
 import { Fence } from "./fence.ts";
+import { KeptBytes } from "./kept_bytes.ts";
 
 const DRAINING_RETRY_MILLISECONDS = 1_000;
 
@@ -34,6 +35,8 @@
   readonly admission: Admission;
   readonly upstream: UpstreamClient;
   readonly keepMilliseconds: number;
+  /** Bytes of all requests and answers that are held. */
+  readonly keptTotalBytes: number;
   readonly logger: Logger;
   readonly metrics: Metrics;
 }
@@ -45,10 +48,15 @@
   /** The latest attempts by the keys that owners of earlier versions use. */
   readonly #latestAttempts = new Map<string, Attempt>();
   readonly #fence = new Fence();
+  readonly #kept: KeptBytes;
   #draining = false;
 
   constructor(options: AttemptTableOptions) {
     this.#options = options;
+    this.#kept = new KeptBytes({
+      totalBytes: options.keptTotalBytes,
+      metrics: options.metrics,
+    });
   }
 
   /** True while the sidecar rejects new attempts. */
@@ -73,6 +81,27 @@
     this.#draining = draining;
   }
 
+  /** Ends all queued attempts, which have not started, with DRAINING. */
+  releaseQueued(): void {
+    for (const attempt of this.#attempts.values()) {
+      if (attempt.outcome !== undefined || attempt.isStarted) continue;
+      attempt.isStopped = true;
+      attempt.release();
+    }
+  }
+
+  /**
+   * Aborts all running attempts at the upstream. They end with a code that does
+   * not rule out that they have run.
+   */
+  abortRunning(): void {
+    for (const attempt of this.#attempts.values()) {
+      if (attempt.outcome !== undefined) continue;
+      attempt.isStopped = true;
+      attempt.cancel();
+    }
+  }
+
   /**
    * Runs an attempt and returns its outcome. A repeated dispatch of an attempt
    * waits for the outcome of the first one and does not run it again.
@@ -153,7 +182,9 @@
   evictExpired(now: number): void {
     const cutoff = now - this.#options.keepMilliseconds;
     for (const [key, attempt] of this.#attempts) {
-      if (attempt.endedAt < cutoff) this.#attempts.delete(key);
+      if (attempt.endedAt >= cutoff) continue;
+      this.#attempts.delete(key);
+      this.#kept.remove(attempt);
     }
     for (const [key, attempt] of this.#latestAttempts) {
       if (attempt.endedAt < cutoff) this.#latestAttempts.delete(key);
@@ -174,11 +205,7 @@
       return fail(RESULT_CODES.STALE_TERM, "The attempt was fenced");
     }
     if (this.#draining) {
-      return fail(
-        RESULT_CODES.DRAINING,
-        "The upstream is draining",
-        DRAINING_RETRY_MILLISECONDS,
-      );
+      return failDraining();
     }
     const admission = this.#options.admission;
     if (admission.isFull) {
@@ -189,7 +216,16 @@
         retry,
       );
     }
+    if (!this.#kept.hasRoom(request)) {
+      const retry = admission.estimateRetryMilliseconds();
+      return fail(
+        RESULT_CODES.QUEUE_FULL,
+        "The sidecar holds too many bytes of requests and answers",
+        retry,
+      );
+    }
     const attempt = new Attempt(request, now);
+    this.#kept.start(attempt);
     this.#attempts.set(formatAttemptKey(key), attempt);
     this.#latestAttempts.set(formatAttemptKey(dropAcceptance(key)), attempt);
     void this.#run(attempt);
@@ -203,8 +239,13 @@
       priority: request.priority,
       attainedTokens: request.attainedTokens,
       arrivedAt,
-    }, attempt.signal);
-    if (!isAdmitted) return this.#finish(attempt, failCancelledBeforeRun());
+    }, attempt.queueSignal);
+    if (!isAdmitted) {
+      const isCancelled = attempt.signal.aborted;
+      const failure = isCancelled ? failCancelledBeforeRun() : failDraining();
+      return this.#finish(attempt, failure);
+    }
+    attempt.isStarted = true;
     metrics.running.set(admission.running);
     const acquiredAt = Date.now();
     const outcome = await this.#runAtUpstream(attempt);
@@ -223,7 +264,10 @@
           formatAttemptKey(request.key).replaceAll("/", "-")
         }`,
         signal: attempt.signal,
-        onText: (text) => attempt.appendText(text),
+        onText: (text) => {
+          attempt.appendText(text);
+          this.#kept.addText(attempt, text);
+        },
       });
     } catch (thrown) {
       const message = thrown instanceof Error
@@ -241,7 +285,21 @@
     const kind = attempt.request.body.kind;
     const code = outcome.ok ? RESULT_CODES.OK : outcome.val.code;
     this.#options.metrics.calls.inc({ kind, code: code.name });
+    if (attempt.isStopped && outcome.err) this.#reportStopped(attempt, code);
     attempt.end(outcome, Date.now());
+    const key = formatAttemptKey(attempt.request.key);
+    if (this.#attempts.get(key) === attempt) this.#kept.finish(attempt);
+    else this.#kept.remove(attempt);
+  }
+
+  #reportStopped(attempt: Attempt, code: ResultCode): void {
+    const { logger, metrics } = this.#options;
+    metrics.stoppedRequests.inc({ part: "sidecar", code: code.name });
+    logger.warn("Attempt ended by a stop", {
+      attempt: formatAttemptKey(attempt.request.key),
+      code: code.number,
+      milliseconds: Date.now() - attempt.arrivedAt,
+    });
   }
 
   #rejectTerm() {
@@ -261,6 +319,15 @@
   return known.request.term < request.term && isIdempotent(request.body);
 }
 
+/** The attempt has not started and will not start. */
+function failDraining(): Outcome<never> {
+  return fail(
+    RESULT_CODES.DRAINING,
+    "The upstream is draining",
+    DRAINING_RETRY_MILLISECONDS,
+  );
+}
+
 function failCancelledBeforeRun(): Outcome<Answer> {
   return fail(
     RESULT_CODES.CANCELLED,
--- a/packages/sidecar/src/attempts/attempt_table_test.ts
+++ b/packages/sidecar/src/attempts/attempt_table_test.ts
@@ -69,6 +69,7 @@
     readonly completesImmediately: boolean;
     readonly slots?: number;
     readonly queueLimit?: number;
+    readonly keptTotalBytes?: number;
   },
 ) {
   const upstream = new FakeUpstream(options.completesImmediately);
@@ -81,6 +82,7 @@
     admission: new Admission(limits, new FirstComeFirstServed()),
     upstream,
     keepMilliseconds: 1_000,
+    keptTotalBytes: options.keptTotalBytes ?? 1_048_576,
     logger: SILENT_LOGGER,
     metrics: createMetrics(),
   });
@@ -92,9 +94,10 @@
     readonly requestId?: string;
     readonly attempt?: number;
     readonly term?: number;
+    readonly payload?: string;
   },
 ): DispatchRequest {
-  const { requestId = "r", attempt = 1, term = 1 } = options;
+  const { requestId = "r", attempt = 1, term = 1, payload = "{}" } = options;
   return {
     key: { group: 1, programId: "p", requestId, attempt },
     term,
@@ -107,7 +110,7 @@
       kind: "service",
       service: "s",
       operation: "o",
-      payload: "{}",
+      payload,
       idempotent: false,
     },
     prompt: [],
@@ -228,3 +231,71 @@
   );
   t.end();
 });
+
+// Guards against queued attempts that wait out a stop and end as if they had run.
+test("a stop gives queued attempts back and aborts running ones at its end", async (t) => {
+  const { table, upstream } = createTable({
+    completesImmediately: false,
+    slots: 1,
+  });
+  const first = table.dispatch(createRequest({ requestId: "first" }), 0);
+  const second = table.dispatch(createRequest({ requestId: "second" }), 0);
+  await setImmediate();
+  table.setDraining(true);
+  table.releaseQueued();
+  t.equal(getCodeName(await second), "DRAINING");
+  t.equal(table.pendingCount, 1);
+  table.abortRunning();
+  t.equal(getCodeName(await first), "CANCELLED");
+  t.same(upstream.startedIds, ["first"]);
+  t.equal(table.pendingCount, 0);
+});
+
+// Guards against finished answers whose sum nothing bounds, and against an attempt
+// that is forgotten with its answer and would run again.
+test("a discarded answer is reported as finished and unknown, never as not run", async (t) => {
+  const { table, upstream } = createTable({
+    completesImmediately: true,
+    keptTotalBytes: 2 * ANSWER.text.length,
+  });
+  for (const requestId of ["a", "b", "c"]) {
+    t.equal(
+      getCodeName(await table.dispatch(createRequest({ requestId }), 0)),
+      "OK",
+    );
+  }
+  const recover = (requestId: string) => {
+    const { key } = createRequest({ requestId });
+    return { key, term: 1, bootId: BOOT_ID };
+  };
+  const state = table.recover(recover("a"), 0);
+  t.equal(state.ok && state.val.state, "finished");
+  t.equal(
+    getCodeName(await table.waitForEnd(recover("a"))),
+    "OUTCOME_UNKNOWN",
+  );
+  t.equal(
+    getCodeName(await table.dispatch(createRequest({ requestId: "a" }), 0)),
+    "OUTCOME_UNKNOWN",
+  );
+  t.equal(getCodeName(await table.waitForEnd(recover("c"))), "OK");
+  t.same(upstream.startedIds, ["a", "b", "c"]);
+});
+
+test("an attempt that does not fit beside those that run is refused", async (t) => {
+  const { table, upstream } = createTable({
+    completesImmediately: false,
+    keptTotalBytes: 100,
+  });
+  const payload = "x".repeat(60);
+  const first = table.dispatch(createRequest({ requestId: "a", payload }), 0);
+  const refused = table.dispatch(createRequest({ requestId: "b", payload }), 0);
+  t.equal(getCodeName(await refused), "QUEUE_FULL");
+  await setImmediate();
+  upstream.pendingOutcomes[0]?.resolve(Ok(ANSWER));
+  t.equal(getCodeName(await first), "OK");
+  const next = table.dispatch(createRequest({ requestId: "b", payload }), 0);
+  await setImmediate();
+  upstream.pendingOutcomes[1]?.resolve(Ok(ANSWER));
+  t.equal(getCodeName(await next), "OK");
+});
--- a/packages/sidecar/src/sidecar_role.ts
+++ b/packages/sidecar/src/sidecar_role.ts
@@ -1,6 +1,5 @@
 /** The sidecar role: runs beside one upstream and is the only access to it. */
 
-import { performance } from "node:perf_hooks";
 import { ConfigurationFollower } from "@mallowlift/configuration";
 import {
   ABORTED,
@@ -15,6 +14,7 @@
 import type { HandlerTable, PeerClient } from "@mallowlift/transport";
 import { Admission } from "./attempts/admission.ts";
 import { AttemptTable } from "./attempts/attempt_table.ts";
+import { stopAttempts } from "./attempts/stop_attempts.ts";
 import { HttpEngineOrderClient } from "./orders/engine_orders.ts";
 import { OrderReconciler } from "./orders/order_reconciler.ts";
 import { RecentChanges } from "./reports/recent_changes.ts";
@@ -31,7 +31,6 @@
 /** Longest wait before the next check, ms; a configuration change starts it at once. */
 const WATCH_INTERVAL_MILLISECONDS = 1_000;
 const FINAL_RESPONSE_GRACE_MILLISECONDS = 250;
-const DRAIN_POLL_MILLISECONDS = 20;
 const SESSION_CLEANUP_INTERVAL_MILLISECONDS = 3_000;
 /** Long enough that several reports to each replica contain each change. */
 const CACHE_CHANGE_RETENTION_MILLISECONDS = 4_000;
@@ -80,6 +79,7 @@
       admission: this.#admission,
       upstream: this.#upstream,
       keepMilliseconds: sidecar.keepMilliseconds,
+      keptTotalBytes: sidecar.keptTotalBytes,
       logger,
       metrics,
     });
@@ -130,15 +130,16 @@
     });
   }
 
-  /** Rejects new attempts, waits for pending ones, then stops all tasks. */
+  /**
+   * Rejects new attempts, ends queued ones, waits for running ones and ends them
+   * shortly before the end, then stops all tasks.
+   */
   async stop(endAt: number): Promise<void> {
     this.#isStopping = true;
     this.#table.setDraining(true);
     this.#reporter.reportNow();
     const deadline = endAt - FINAL_RESPONSE_GRACE_MILLISECONDS;
-    while (this.#table.pendingCount > 0 && performance.now() < deadline) {
-      await sleep(DRAIN_POLL_MILLISECONDS);
-    }
+    await stopAttempts(this.#table, deadline);
     // Owners and entries still read the last answers over open connections.
     await sleep(FINAL_RESPONSE_GRACE_MILLISECONDS);
     this.#stopped.abort(ABORTED);
