An entry that stops answers every open request, and bounds what it holds

At the end of a stop the HTTP library destroyed the sockets of what was still open. The port is now kept until the open requests are over; new requests get DRAINING with Retry-After on every route, and one second before the end each open one is answered: DRAINING if no owner can have it or it changes nothing, OWNER_LOST otherwise. A stream that has begun gets the error and is closed without its last chunk. Watches end as soon as the stop begins. A line and a counter name each request that was ended.

Bodies are read by the entry itself: their sum is bounded by entry.request_total_bytes, an outfit gets at most what is free, and the rest is refused with OVERLOADED. A chunked body beyond max_body_bytes got no answer at all before; a body that does not arrive within 10 s is a BODY_TIMEOUT now. Callers that do not read a stream are disconnected above entry.unread_call_bytes, or the slowest above entry.unread_total_bytes.

Failed tries: payload options on GET routes (the library refuses them at the start); reading on for 1 s after a refusal at the end of a stop, which left no time for the answer (100 ms now); measuring the unread bytes also between the last events of a stream, which (read, not run) would cut fast readers of answers above 4 MiB.

--- a/packages/entry/src/callers/call_handlers.ts
+++ b/packages/entry/src/callers/call_handlers.ts
@@ -11,12 +11,7 @@
 } from "./call_answers.ts";
 import { MODEL_CALL_SCHEMA, SERVICE_CALL_SCHEMA } from "./caller_schemas.ts";
 import { checkCallerBody } from "./check_caller.ts";
-import {
-  answerCallError,
-  createDisconnectSignal,
-  type PreparedCall,
-  runCall,
-} from "./run_call.ts";
+import { answerOwnerError, type PreparedCall, runCall } from "./run_call.ts";
 import { streamModelCall } from "./stream_call.ts";
 
 /** Runs a model call and answers with the whole text or a stream. */
@@ -56,9 +51,11 @@
   }
   const reply = await runCall(context, {
     call,
-    signal: createDisconnectSignal(request),
+    signal: context.requests.getSignal(request),
   });
-  if (reply.err) return answerCallError(toolkit, reply.val);
+  if (reply.err) {
+    return answerOwnerError(context, { request, toolkit, error: reply.val });
+  }
   const failure = findRecordedFailure(reply.val);
   if (failure !== undefined) return answerError(toolkit, failure, "owner");
   return answerValue(
@@ -102,9 +99,11 @@
   };
   const reply = await runCall(context, {
     call,
-    signal: createDisconnectSignal(request),
+    signal: context.requests.getSignal(request),
   });
-  if (reply.err) return answerCallError(toolkit, reply.val);
+  if (reply.err) {
+    return answerOwnerError(context, { request, toolkit, error: reply.val });
+  }
   const failure = findRecordedFailure(reply.val);
   if (failure !== undefined) return answerError(toolkit, failure, "owner");
   return answerValue(toolkit, createServiceAnswerBody(call, reply.val));
--- a/packages/entry/src/callers/caller_routes.ts
+++ b/packages/entry/src/callers/caller_routes.ts
@@ -1,7 +1,8 @@
 /** Routes of the HTTP interface for callers. */
 
-import type { Request, ResponseToolkit, ServerRoute } from "@hapi/hapi";
+import type { ServerRoute } from "@hapi/hapi";
 import type { EntryContext } from "../entry_context.ts";
+import { createRoute } from "../http/serve_route.ts";
 import { callModel, callService } from "./call_handlers.ts";
 import {
   createChild,
@@ -15,30 +16,27 @@
 export function createCallerRoutes(
   context: EntryContext,
 ): readonly ServerRoute[] {
-  const serve =
-    (handler: typeof createProgram | typeof callModel) =>
-    (request: Request, toolkit: ResponseToolkit) =>
-      handler(context, request, toolkit);
   const program = "/v1/programs/{program}";
-  return [
-    { method: "POST", path: "/v1/programs", handler: serve(createProgram) },
-    { method: "GET", path: program, handler: serve(readProgram) },
-    { method: "DELETE", path: program, handler: serve(endProgram) },
+  const routes = [
+    { method: "POST", path: "/v1/programs", handler: createProgram },
+    { method: "GET", path: program, handler: readProgram },
+    { method: "DELETE", path: program, handler: endProgram },
     {
       method: "POST",
       path: `${program}/children`,
-      handler: serve(createChild),
+      handler: createChild,
     },
-    { method: "GET", path: `${program}/history`, handler: serve(readHistory) },
+    { method: "GET", path: `${program}/history`, handler: readHistory },
     {
       method: "POST",
       path: `${program}/chat/completions`,
-      handler: serve(callModel),
+      handler: callModel,
     },
     {
       method: "POST",
       path: `${program}/services/{service}`,
-      handler: serve(callService),
+      handler: callService,
     },
-  ];
+  ] as const;
+  return routes.map((route) => createRoute(context, route));
 }
--- a/packages/entry/src/callers/program_handlers.ts
+++ b/packages/entry/src/callers/program_handlers.ts
@@ -16,7 +16,7 @@
 } from "@mallowlift/core";
 import { Ok } from "ts-results";
 import type { EntryContext } from "../entry_context.ts";
-import { answerError, answerValue, refuse } from "../http/answer.ts";
+import { answerValue, refuse } from "../http/answer.ts";
 import { authenticateOutfit } from "../http/authentication.ts";
 import { checkBody } from "../http/check_body.ts";
 import {
@@ -29,6 +29,7 @@
   readProgramId,
 } from "./check_caller.ts";
 import { describeProgram, describeTurn } from "./describe_program.ts";
+import { answerOwnerError } from "./run_call.ts";
 
 const DEFAULT_DEADLINE_MILLISECONDS = 24 * 3_600_000;
 const DEFAULT_LEASE_MILLISECONDS = 600_000;
@@ -71,10 +72,12 @@
   const checked = checkCaller(context, request);
   if (checked.err) return refuse(context, toolkit, checked.val);
   const { outfit, programId } = checked.val;
-  return await answerFromOwner(context, toolkit, {
+  return await answerFromOwner(context, {
+    request,
+    toolkit,
     programId,
     name: "programs.read",
-    request: { programId, outfit: outfit.name },
+    message: { programId, outfit: outfit.name },
     describe: describeProgram,
   });
 }
@@ -96,10 +99,12 @@
     });
   }
   const { outfit, programId } = checked.val;
-  return await answerFromOwner(context, toolkit, {
+  return await answerFromOwner(context, {
+    request,
+    toolkit,
     programId,
     name: "programs.history",
-    request: {
+    message: {
       programId,
       outfit: outfit.name,
       fromTurn,
@@ -121,10 +126,12 @@
   const checked = checkCaller(context, request);
   if (checked.err) return refuse(context, toolkit, checked.val);
   const { outfit, programId } = checked.val;
-  return await answerFromOwner(context, toolkit, {
+  return await answerFromOwner(context, {
+    request,
+    toolkit,
     programId,
     name: "programs.end",
-    request: { programId, outfit: outfit.name, reason: END_REASONS.CALLER },
+    message: { programId, outfit: outfit.name, reason: END_REASONS.CALLER },
     describe: describeProgram,
   });
 }
@@ -151,10 +158,12 @@
   });
   if (spec.err) return refuse(context, toolkit, spec.val);
   const programId = deriveProgramId(spec.val);
-  return await answerFromOwner(context, toolkit, {
+  return await answerFromOwner(context, {
+    request,
+    toolkit,
     programId,
     name: "programs.create",
-    request: { programId, spec: spec.val },
+    message: { programId, spec: spec.val },
     describe: describeProgram,
     status: HTTP_CREATED,
   });
@@ -163,22 +172,28 @@
 /** Forwards a request to the owner of a program and converts its reply. */
 async function answerFromOwner<N extends HandlerName>(
   context: EntryContext,
-  toolkit: ResponseToolkit,
   query: {
+    readonly request: Request;
+    readonly toolkit: ResponseToolkit;
     readonly programId: string;
     readonly name: N;
-    readonly request: InternalHandlers[N]["request"];
+    readonly message: InternalHandlers[N]["request"];
     readonly describe: (reply: InternalHandlers[N]["reply"]) => object;
     readonly status?: number;
   },
 ): Promise<ResponseObject> {
-  const { programId, name, request, describe, status } = query;
+  const { request, toolkit, programId, name, message, describe } = query;
   const reply = await context.owners.call(context.findGroup(programId), {
     name,
-    createRequest: () => request,
-  }, { timeoutMilliseconds: OWNER_CALL_TIMEOUT_MILLISECONDS });
-  if (reply.err) return answerError(toolkit, reply.val, "owner");
-  return answerValue(toolkit, describe(reply.val), status);
+    createRequest: () => message,
+  }, {
+    timeoutMilliseconds: OWNER_CALL_TIMEOUT_MILLISECONDS,
+    signal: context.requests.getSignal(request),
+  });
+  if (reply.err) {
+    return answerOwnerError(context, { request, toolkit, error: reply.val });
+  }
+  return answerValue(toolkit, describe(reply.val), query.status);
 }
 
 function createProgramSpec(
--- a/packages/entry/src/callers/run_call.ts
+++ b/packages/entry/src/callers/run_call.ts
@@ -2,7 +2,6 @@
 
 import type { Request, ResponseObject, ResponseToolkit } from "@hapi/hapi";
 import {
-  ABORTED,
   type CallBody,
   type CodedError,
   type Outcome,
@@ -11,6 +10,7 @@
 } from "@mallowlift/core";
 import type { EntryContext } from "../entry_context.ts";
 import { answerError } from "../http/answer.ts";
+import { STOPPING } from "../http/open_requests.ts";
 import type { StreamFollower } from "./stream_follower.ts";
 
 const RUN_CALL_TIMEOUT_MILLISECONDS = 2_000_000_000;
@@ -49,23 +49,29 @@
 }
 
 /**
- * Returns a signal that aborts when the caller disconnects. A call that its
- * owner has accepted continues without the caller.
+ * Answers with the error of an owner. NO_LEADER is reported as an error of this
+ * entry, since no owner accepted the request, and so are the errors with which a
+ * stop of this entry ends a request.
  */
-export function createDisconnectSignal(request: Request): AbortSignal {
-  const disconnected = new AbortController();
-  request.raw.res.once("close", () => disconnected.abort(ABORTED));
-  return disconnected.signal;
+export function answerOwnerError(
+  context: EntryContext,
+  options: {
+    readonly request: Request;
+    readonly toolkit: ResponseToolkit;
+    readonly error: CodedError;
+  },
+): ResponseObject {
+  const { request, toolkit, error } = options;
+  context.requests.reportStopped(request, error);
+  return answerError(toolkit, error, findErrorSource(context, request, error));
 }
 
-/**
- * Answers with the error of a call. NO_LEADER is reported as an error of this
- * entry, since no owner accepted the call, and all others as errors of the owner.
- */
-export function answerCallError(
-  toolkit: ResponseToolkit,
+/** Returns where the error of a request comes from. */
+export function findErrorSource(
+  context: EntryContext,
+  request: Request,
   error: CodedError,
-): ResponseObject {
-  const byEntry = error.code === RESULT_CODES.NO_LEADER;
-  return answerError(toolkit, error, byEntry ? "entry" : "owner");
+): "entry" | "owner" {
+  const isStopped = context.requests.getSignal(request).reason === STOPPING;
+  return isStopped || error.code === RESULT_CODES.NO_LEADER ? "entry" : "owner";
 }
--- a/packages/entry/src/callers/stream_call.ts
+++ b/packages/entry/src/callers/stream_call.ts
@@ -10,14 +10,15 @@
 import type { EntryContext } from "../entry_context.ts";
 import { createErrorBody } from "../http/answer.ts";
 import { EventStreamWriter } from "../http/event_stream_writer.ts";
+import { STOPPING } from "../http/open_requests.ts";
 import { createModelAnswerBody, findRecordedFailure } from "./call_answers.ts";
 import {
   DELIVERY_REPORT_TIMEOUT_MILLISECONDS,
   StreamFollower,
 } from "./stream_follower.ts";
 import {
-  answerCallError,
-  createDisconnectSignal,
+  answerOwnerError,
+  findErrorSource,
   type PreparedCall,
   runCall,
 } from "./run_call.ts";
@@ -36,8 +37,8 @@
   },
 ): Promise<ResponseObject | symbol> {
   const { request, toolkit, call, model } = options;
-  const output = new EventStreamWriter(request.raw.res);
-  const signal = createDisconnectSignal(request);
+  const output = new EventStreamWriter(request.raw.res, context.unread);
+  const signal = context.requests.getSignal(request);
   const chunkPrefix = createChunkPrefix(call, model);
   const follower = new StreamFollower({
     findSidecar: (address) => context.links.get(address),
@@ -51,13 +52,20 @@
     signal,
   });
   const reply = await runCall(context, { call, signal, follower });
+  output.isEnding = true;
   const failure = findStreamFailure(reply, follower);
   // Before the first event, the failure can still set the HTTP status.
   if (failure !== undefined && !output.isOpen) {
-    return answerCallError(toolkit, failure);
+    return answerOwnerError(context, { request, toolkit, error: failure });
   }
   if (failure !== undefined) {
-    output.writeEvent(JSON.stringify(createErrorBody(failure, "owner")));
+    context.requests.reportStopped(request, failure);
+    const source = findErrorSource(context, request, failure);
+    output.writeEvent(JSON.stringify(createErrorBody(failure, source)));
+    if (signal.reason === STOPPING) {
+      output.breakOff();
+      return toolkit.abandon;
+    }
   } else if (reply.ok) {
     const answer = createModelAnswerBody(call, model, reply.val);
     output.writeEvent(JSON.stringify(answer));
--- a/packages/entry/src/entry_role.ts
+++ b/packages/entry/src/entry_role.ts
@@ -4,7 +4,9 @@
 import type { Server } from "@hapi/hapi";
 import { ConfigurationFollower } from "@mallowlift/configuration";
 import {
+  ABORTED,
   type Child,
+  findFinalAnswersStart,
   findProgramGroup,
   type Logger,
   type Metrics,
@@ -13,7 +15,10 @@
 import { parseAddress, type PeerLinks } from "@mallowlift/transport";
 import { createCallerRoutes } from "./callers/caller_routes.ts";
 import type { EntryContext } from "./entry_context.ts";
+import { BodyBudget } from "./http/body_budget.ts";
 import { createHttpServer } from "./http/create_server.ts";
+import { OpenRequests } from "./http/open_requests.ts";
+import { UnreadStreams } from "./http/unread_streams.ts";
 import { createOperatorRoutes } from "./operators/operator_routes.ts";
 import { OwnerDirectory } from "./owners/owner_directory.ts";
 
@@ -38,7 +43,8 @@
   readonly #logger: Logger;
   readonly #follower: ConfigurationFollower;
   readonly #server: Server;
-  #draining = false;
+  readonly #requests: OpenRequests;
+  readonly #drained = new AbortController();
 
   constructor(options: EntryRoleOptions) {
     const { settings, bootId, links, metrics } = options;
@@ -57,6 +63,7 @@
       logger,
       metrics,
     });
+    this.#requests = new OpenRequests({ logger, metrics });
     const context: EntryContext = {
       owners: new OwnerDirectory(replicas, {
         waitMilliseconds: entry.ownerWaitMilliseconds,
@@ -64,13 +71,26 @@
       }),
       links,
       follower: this.#follower,
+      requests: this.#requests,
+      bodies: new BodyBudget(
+        Math.max(entry.requestTotalBytes, entry.maxBodyBytes),
+        metrics,
+      ),
+      unread: new UnreadStreams({
+        callBytes: entry.unreadCallBytes,
+        totalBytes: entry.unreadTotalBytes,
+        logger,
+        metrics,
+      }),
       operatorTokenSha256: entry.operatorTokenSha256,
+      maxBodyBytes: entry.maxBodyBytes,
       logger,
       metrics,
       findGroup: (programId) =>
         findProgramGroup(programId, network.programGroups),
       isFresh: () => this.isFresh(),
-      isDraining: () => this.#draining,
+      isDraining: () => this.#drained.signal.aborted,
+      drainSignal: this.#drained.signal,
     };
     const { host, port } = parseAddress(entry.httpListen);
     const { maxBodyBytes } = entry;
@@ -95,7 +115,7 @@
 
   /** True while this entry accepts new work. */
   isHealthy(): boolean {
-    return this.isFresh() && !this.#draining;
+    return this.isFresh() && !this.#drained.signal.aborted;
   }
 
   /**
@@ -108,9 +128,16 @@
     this.#logger.info("Started", { address: this.#server.info.uri });
   }
 
-  /** Rejects new requests and waits for those in flight, up to a timeout. */
+  /**
+   * Refuses new requests and waits for those in flight. Shortly before the end,
+   * all that are still open are answered.
+   */
   async stop(endAt: number): Promise<void> {
-    this.#draining = true;
+    this.#drained.abort(ABORTED);
+    const answerAt = findFinalAnswersStart(performance.now(), endAt);
+    await this.#requests.waitUntilEmpty(answerAt);
+    this.#requests.endAll();
+    await this.#requests.waitUntilEmpty(endAt);
     const timeout = Math.max(0, endAt - performance.now());
     await this.#server.stop({ timeout });
     this.#follower.stop();
--- a/packages/entry/src/http/event_stream_writer.ts
+++ b/packages/entry/src/http/event_stream_writer.ts
@@ -1,6 +1,7 @@
 /** Writes server-sent events directly to a caller's connection. */
 
 import type { ServerResponse } from "node:http";
+import type { UnreadStreams } from "./unread_streams.ts";
 
 const HTTP_OK = 200;
 
@@ -10,10 +11,15 @@
  */
 export class EventStreamWriter {
   readonly #response: ServerResponse;
+  readonly #unread: UnreadStreams;
   #isOpen = false;
+  /** True once all further events are known, so that they are the last ones. */
+  isEnding = false;
 
-  constructor(response: ServerResponse) {
+  constructor(response: ServerResponse, unread: UnreadStreams) {
     this.#response = response;
+    this.#unread = unread;
+    unread.add(response);
   }
 
   /** True once the status and the first event have been written. */
@@ -30,9 +36,19 @@
         "cache-control": "no-cache",
       });
     }
+    this.#unread.checkBeforeWrite(this.#response, this.isEnding);
+    if (this.#response.destroyed) return;
     this.#response.write(`data: ${data}\n\n`);
   }
 
+  /**
+   * Closes the connection after the events written so far, without the last
+   * chunk, so that the stream does not look complete.
+   */
+  breakOff(): void {
+    this.#response.socket?.destroySoon();
+  }
+
   /** Ends the stream. */
   end(): void {
     this.#response.end();
--- a/packages/entry/src/operators/collect_status.ts
+++ b/packages/entry/src/operators/collect_status.ts
@@ -45,11 +45,13 @@
  */
 export async function collectStatus(
   context: EntryContext,
+  signal: AbortSignal,
 ): Promise<SiteStatus> {
   const answers = await Promise.all(
     context.owners.replicas.map((replica) =>
       replica.call("replica.status", {}, {
         timeoutMilliseconds: STATUS_TIMEOUT_MILLISECONDS,
+        signal,
       })
     ),
   );
--- a/packages/entry/src/operators/operator_routes.ts
+++ b/packages/entry/src/operators/operator_routes.ts
@@ -1,7 +1,8 @@
 /** Routes of the HTTP interface for operators. */
 
-import type { Request, ResponseToolkit, ServerRoute } from "@hapi/hapi";
+import type { ServerRoute } from "@hapi/hapi";
 import type { EntryContext } from "../entry_context.ts";
+import { createRoute } from "../http/serve_route.ts";
 import {
   deleteResource,
   getResource,
@@ -14,21 +15,18 @@
 export function createOperatorRoutes(
   context: EntryContext,
 ): readonly ServerRoute[] {
-  const serve =
-    (handler: typeof getResource) =>
-    (request: Request, toolkit: ResponseToolkit) =>
-      handler(context, request, toolkit);
   const resource = "/v1/resources/{kind}/{name}";
-  return [
+  const routes = [
     {
       method: "GET",
       path: "/v1/resources/{kind}",
-      handler: serve(listResources),
+      handler: listResources,
     },
-    { method: "GET", path: resource, handler: serve(getResource) },
-    { method: "PUT", path: resource, handler: serve(putResource) },
-    { method: "DELETE", path: resource, handler: serve(deleteResource) },
-    { method: "GET", path: "/v1/watch", handler: serve(watchResources) },
-    { method: "GET", path: "/v1/status", handler: serve(readStatus) },
-  ];
+    { method: "GET", path: resource, handler: getResource },
+    { method: "PUT", path: resource, handler: putResource },
+    { method: "DELETE", path: resource, handler: deleteResource },
+    { method: "GET", path: "/v1/watch", handler: watchResources },
+    { method: "GET", path: "/v1/status", handler: readStatus },
+  ] as const;
+  return routes.map((route) => createRoute(context, route));
 }
--- a/packages/entry/src/operators/poll_configuration.ts
+++ b/packages/entry/src/operators/poll_configuration.ts
@@ -14,9 +14,13 @@
  */
 export async function pollConfiguration(
   context: EntryContext,
-  revision: number,
-  holdMilliseconds: number,
+  poll: {
+    readonly revision: number;
+    readonly holdMilliseconds: number;
+    readonly signal: AbortSignal;
+  },
 ): Promise<Outcome<ConfigurationUpdate>> {
+  const { revision, holdMilliseconds, signal } = poll;
   return await context.owners.call(CONFIGURATION_GROUP, {
     name: "configuration.poll",
     createRequest: () => ({
@@ -25,5 +29,8 @@
       revision,
       holdMilliseconds,
     }),
-  }, { timeoutMilliseconds: ANSWER_TIMEOUT_MILLISECONDS + holdMilliseconds });
+  }, {
+    timeoutMilliseconds: ANSWER_TIMEOUT_MILLISECONDS + holdMilliseconds,
+    signal,
+  });
 }
--- a/packages/entry/src/operators/resource_handlers.ts
+++ b/packages/entry/src/operators/resource_handlers.ts
@@ -19,8 +19,9 @@
 import Joi from "joi";
 import { Ok } from "ts-results";
 import type { EntryContext } from "../entry_context.ts";
-import { answerError, answerValue, refuse } from "../http/answer.ts";
+import { answerValue, refuse } from "../http/answer.ts";
 import { checkBody } from "../http/check_body.ts";
+import { answerOwnerError } from "../callers/run_call.ts";
 import { checkOperator } from "./check_operator.ts";
 import {
   ANSWER_TIMEOUT_MILLISECONDS,
@@ -59,8 +60,10 @@
 ): Promise<ResponseObject> {
   const kind = checkKindRequest(context, request);
   if (kind.err) return refuse(context, toolkit, kind.val);
-  const all = await readAllResources(context);
-  if (all.err) return answerError(toolkit, all.val, "owner");
+  const all = await readAllResources(context, request);
+  if (all.err) {
+    return answerOwnerError(context, { request, toolkit, error: all.val });
+  }
   const resources = all.val.resources.filter((resource) =>
     resource.kind === kind.val
   );
@@ -78,8 +81,10 @@
 ): Promise<ResponseObject> {
   const name = checkResourceRequest(context, request);
   if (name.err) return refuse(context, toolkit, name.val);
-  const all = await readAllResources(context);
-  if (all.err) return answerError(toolkit, all.val, "owner");
+  const all = await readAllResources(context, request);
+  if (all.err) {
+    return answerOwnerError(context, { request, toolkit, error: all.val });
+  }
   const resource = all.val.resources.find((known) => hasName(known, name.val));
   if (resource !== undefined) return answerValue(toolkit, resource);
   const message = "Resource not found";
@@ -104,7 +109,7 @@
     body.val.spec,
   );
   if (spec.err) return refuse(context, toolkit, spec.val);
-  return await sendOrder(context, toolkit, {
+  return await sendOrder(context, { request, toolkit }, {
     ...name.val,
     orderId: body.val.order_id,
     expectedVersion: body.val.version,
@@ -132,7 +137,7 @@
       message,
     });
   }
-  return await sendOrder(context, toolkit, {
+  return await sendOrder(context, { request, toolkit }, {
     ...name.val,
     orderId: String(request.query.order_id),
     expectedVersion: version,
@@ -141,20 +146,29 @@
 
 async function readAllResources(
   context: EntryContext,
+  request: Request,
 ): Promise<Outcome<ConfigurationUpdate>> {
-  return await pollConfiguration(context, -1, 0);
+  const signal = context.requests.getSignal(request);
+  const poll = { revision: -1, holdMilliseconds: 0, signal };
+  return await pollConfiguration(context, poll);
 }
 
 async function sendOrder(
   context: EntryContext,
-  toolkit: ResponseToolkit,
+  exchange: { readonly request: Request; readonly toolkit: ResponseToolkit },
   order: ResourceOrder,
 ): Promise<ResponseObject> {
+  const { request, toolkit } = exchange;
   const result = await context.owners.call(CONFIGURATION_GROUP, {
     name: "configuration.order",
     createRequest: () => order,
-  }, { timeoutMilliseconds: ANSWER_TIMEOUT_MILLISECONDS });
-  if (result.err) return answerError(toolkit, result.val, "owner");
+  }, {
+    timeoutMilliseconds: ANSWER_TIMEOUT_MILLISECONDS,
+    signal: context.requests.getSignal(request),
+  });
+  if (result.err) {
+    return answerOwnerError(context, { request, toolkit, error: result.val });
+  }
   const { kind, name } = order;
   return answerValue(toolkit, { kind, name, ...result.val });
 }
--- a/packages/entry/src/operators/site_handlers.ts
+++ b/packages/entry/src/operators/site_handlers.ts
@@ -8,12 +8,8 @@
   RESULT_CODES,
 } from "@mallowlift/core";
 import type { EntryContext } from "../entry_context.ts";
-import {
-  answerError,
-  answerValue,
-  createErrorBody,
-  refuse,
-} from "../http/answer.ts";
+import { answerValue, createErrorBody, refuse } from "../http/answer.ts";
+import { answerOwnerError } from "../callers/run_call.ts";
 import { checkOperator } from "./check_operator.ts";
 import { collectStatus } from "./collect_status.ts";
 import { pollConfiguration } from "./poll_configuration.ts";
@@ -38,8 +34,12 @@
       message,
     });
   }
-  const first = await pollConfiguration(context, from, 0);
-  if (first.err) return answerError(toolkit, first.val, "owner");
+  const signal = context.requests.getSignal(request);
+  const poll = { revision: from, holdMilliseconds: 0, signal };
+  const first = await pollConfiguration(context, poll);
+  if (first.err) {
+    return answerOwnerError(context, { request, toolkit, error: first.val });
+  }
   if (first.val.whole) {
     const message =
       "Some changes after this revision were discarded; list the resources and watch again";
@@ -49,13 +49,20 @@
     });
   }
   const output = new PassThrough();
-  const disconnected = new AbortController();
-  request.raw.res.once("close", () => disconnected.abort(ABORTED));
-  void sendChanges(context, {
+  const ended = new AbortController();
+  const end = () => ended.abort(ABORTED);
+  for (const source of [signal, context.drainSignal]) {
+    source.addEventListener("abort", end, { once: true });
+    if (source.aborted) end();
+  }
+  const sending = sendChanges(context, {
     first: first.val,
     output,
-    signal: disconnected.signal,
+    signal: ended.signal,
   });
+  void sending.then(() =>
+    context.drainSignal.removeEventListener("abort", end)
+  );
   return toolkit.response(output).type("text/event-stream").header(
     "cache-control",
     "no-cache",
@@ -70,7 +77,10 @@
 ): Promise<ResponseObject> {
   const allowed = checkOperator(context, request);
   if (allowed.err) return refuse(context, toolkit, allowed.val);
-  return answerValue(toolkit, await collectStatus(context));
+  return answerValue(
+    toolkit,
+    await collectStatus(context, context.requests.getSignal(request)),
+  );
 }
 
 async function sendChanges(
@@ -93,12 +103,13 @@
       output.write(`: revision ${update.revision}\n\n`);
     }
     revision = update.revision;
-    if (signal.aborted || context.isDraining()) break;
-    const next = await pollConfiguration(
-      context,
+    if (signal.aborted) break;
+    const next = await pollConfiguration(context, {
       revision,
-      POLL_HOLD_MILLISECONDS,
-    );
+      holdMilliseconds: POLL_HOLD_MILLISECONDS,
+      signal,
+    });
+    if (signal.aborted) break;
     if (next.err) {
       output.write(
         `data: ${JSON.stringify(createErrorBody(next.val, "owner"))}\n\n`,
--- a/packages/entry/src/owners/owner_directory.ts
+++ b/packages/entry/src/owners/owner_directory.ts
@@ -11,6 +11,7 @@
   sleep,
 } from "@mallowlift/core";
 import type { CallOptions, PeerClient } from "@mallowlift/transport";
+import { DRAINING_ERROR, STOPPING } from "../http/open_requests.ts";
 
 const RETRY_DELAY_MILLISECONDS = 30;
 const RETRY_AFTER_MILLISECONDS = 1_000;
@@ -30,6 +31,13 @@
   RESULT_CODES.NOT_CONNECTED,
 ];
 
+/** Methods that change nothing, so that an unanswered request has no effect. */
+const READING_METHODS: readonly HandlerName[] = [
+  "configuration.poll",
+  "programs.history",
+  "programs.read",
+];
+
 /** Caches which replica leads each group and forwards requests to it. */
 export class OwnerDirectory {
   readonly #replicas: readonly PeerClient[];
@@ -56,7 +64,8 @@
    * an id in its request, so the request can be retried at the next leader.
    *
    * @returns NO_LEADER if no replica accepted the request, OWNER_LOST if one may
-   * have
+   * have; if the signal aborts, CANCELLED, or for a stop of this entry DRAINING or
+   * OWNER_LOST
    */
   async call<N extends HandlerName>(
     group: number,
@@ -78,11 +87,15 @@
         message.createRequest(),
         options,
       );
+      const { signal } = options;
+      if (outcome.err && signal?.aborted) {
+        const isSent = !NOT_ACCEPTED_CODES.includes(outcome.val.code);
+        return failAborted(message.name, signal, mayBeAccepted || isSent);
+      }
       if (outcome.ok || !NEXT_REPLICA_CODES.includes(outcome.val.code)) {
         this.#leaders.set(group, replicaIndex);
         return outcome;
       }
-      if (options.signal?.aborted) break;
       const code = outcome.val.code;
       this.#metrics.retries.inc({ part: "entry", reason: code.name });
       if (!NOT_ACCEPTED_CODES.includes(code)) mayBeAccepted = true;
@@ -92,7 +105,10 @@
         searchStartedAt = Date.now();
       }
       replicaIndex++;
-      await sleep(RETRY_DELAY_MILLISECONDS, options.signal);
+      await sleep(RETRY_DELAY_MILLISECONDS, signal);
+      if (signal?.aborted) {
+        return failAborted(message.name, signal, mayBeAccepted);
+      }
     }
     if (mayBeAccepted) {
       return fail(
@@ -108,3 +124,24 @@
     );
   }
 }
+
+/** Returns the error of a request that its caller or a stop of this entry ended. */
+function failAborted(
+  name: HandlerName,
+  signal: AbortSignal,
+  mayBeAccepted: boolean,
+): Outcome<never> {
+  if (signal.reason !== STOPPING) {
+    return fail(RESULT_CODES.CANCELLED, "The caller disconnected");
+  }
+  const changesNothing = READING_METHODS.includes(name);
+  if (!mayBeAccepted || changesNothing) {
+    const { code, message, retryAfterMilliseconds } = DRAINING_ERROR;
+    return fail(code, message, retryAfterMilliseconds);
+  }
+  return fail(
+    RESULT_CODES.OWNER_LOST,
+    "This entry stops; the owner may have accepted the request",
+    RETRY_AFTER_MILLISECONDS,
+  );
+}
