--- a/packages/core/src/mod.ts
+++ b/packages/core/src/mod.ts
@@ -24,3 +24,4 @@
 export * from "./http/ordered_connection.ts";
 export * from "./http/ordered_response.ts";
 export * from "./http/ordered_server.ts";
+export * from "./supervisor/final_answers.ts";
--- a/packages/core/src/result/result_codes.ts
+++ b/packages/core/src/result/result_codes.ts
@@ -113,7 +113,7 @@
   BODY_TIMEOUT: defineCode(1016, "BODY_TIMEOUT", {
     httpStatus: 408,
     notRun: true,
-    meaning: "The body did not arrive in time.",
+    meaning: "The body of the request did not arrive in time.",
   }),
   QUEUE_FULL: defineCode(2001, "QUEUE_FULL", {
     httpStatus: 503,
@@ -184,7 +184,8 @@
   OVERLOADED: defineCode(2014, "OVERLOADED", {
     httpStatus: 503,
     notRun: true,
-    meaning: "The gateway has reached its limit of open requests.",
+    meaning:
+      "The process has reached its limit of open requests or of their bytes.",
   }),
   LEADER_BUSY: defineCode(2015, "LEADER_BUSY", {
     httpStatus: 503,
--- a/packages/entry/src/entry_role.ts
+++ b/packages/entry/src/entry_role.ts
@@ -4,7 +4,9 @@
 import type { Server } from "@hapi/hapi";
 import { ConfigurationFollower } from "@mallowlift/configuration";
 import {
+  ABORTED,
   type Child,
+  findFinalAnswersStart,
   findProgramGroup,
   type Logger,
   type Metrics,
@@ -14,7 +16,10 @@
 import { parseAddress, type PeerLinks } from "@mallowlift/transport";
 import { createCallerRoutes } from "./callers/caller_routes.ts";
 import type { EntryContext } from "./entry_context.ts";
+import { BodyBudget } from "./http/body_budget.ts";
 import { createHttpServer } from "./http/create_server.ts";
+import { OpenRequests } from "./http/open_requests.ts";
+import { UnreadStreams } from "./http/unread_streams.ts";
 import { createOperatorRoutes } from "./operators/operator_routes.ts";
 import { OwnerDirectory } from "./owners/owner_directory.ts";
 
@@ -40,7 +45,8 @@
   readonly #follower: ConfigurationFollower;
   readonly #listener: OrderedServer;
   readonly #server: Server;
-  #draining = false;
+  readonly #requests: OpenRequests;
+  readonly #drained = new AbortController();
 
   constructor(options: EntryRoleOptions) {
     const { settings, bootId, links, metrics } = options;
@@ -59,6 +65,7 @@
       logger,
       metrics,
     });
+    this.#requests = new OpenRequests({ logger, metrics });
     const context: EntryContext = {
       owners: new OwnerDirectory(replicas, {
         waitMilliseconds: entry.ownerWaitMilliseconds,
@@ -66,13 +73,26 @@
       }),
       links,
       follower: this.#follower,
+      requests: this.#requests,
+      bodies: new BodyBudget(
+        Math.max(entry.requestTotalBytes, entry.maxBodyBytes),
+        metrics,
+      ),
+      unread: new UnreadStreams({
+        callBytes: entry.unreadCallBytes,
+        totalBytes: entry.unreadTotalBytes,
+        logger,
+        metrics,
+      }),
       operatorTokenSha256: entry.operatorTokenSha256,
+      maxBodyBytes: entry.maxBodyBytes,
       logger,
       metrics,
       findGroup: (programId) =>
         findProgramGroup(programId, network.programGroups),
       isFresh: () => this.isFresh(),
-      isDraining: () => this.#draining,
+      isDraining: () => this.#drained.signal.aborted,
+      drainSignal: this.#drained.signal,
     };
     const { host, port } = parseAddress(entry.httpListen);
     const { maxBodyBytes } = entry;
@@ -99,7 +119,7 @@
 
   /** True while this entry accepts new work. */
   isHealthy(): boolean {
-    return this.isFresh() && !this.#draining;
+    return this.isFresh() && !this.#drained.signal.aborted;
   }
 
   /**
@@ -112,9 +132,16 @@
     this.#logger.info("Started", { address: this.#server.info.uri });
   }
 
-  /** Rejects new requests and waits for those in flight, up to a timeout. */
+  /**
+   * Refuses new requests and waits for those in flight. Shortly before the end,
+   * all that are still open are answered.
+   */
   async stop(endAt: number): Promise<void> {
-    this.#draining = true;
+    this.#drained.abort(ABORTED);
+    this.#listener.endConnections();
+    const answerAt = findFinalAnswersStart(performance.now(), endAt);
+    await this.#requests.waitUntilEmpty(answerAt);
+    this.#requests.endAll();
     // The framework itself would end a connection behind the next answer.
     await this.#listener.closeAnswered(
       Math.max(0, endAt - performance.now()),
