A request that waited too long on its connection does not run

What callers saw: a request whose time was over when its turn came was still sent to an upstream, ran (a write too), and ended with a 504. With max_requests used up by those that wait behind it, the request at the head of a connection was refused.

Cause: the deadline of a call only ended it with a timer, after the first send. The limit was compared with all requests that are open now, including those that were read later.

Change: a call whose deadline has passed is ended before it is sent, with a refusal that promises that it has not run. A request is refused only if the limit was exceeded when it was read and still is in its turn.

The check of the limit was written with its change and was not run on the code before.

--- a/packages/bench/src/gateways/requests_sent_ahead_test.ts
+++ b/packages/bench/src/gateways/requests_sent_ahead_test.ts
@@ -221,3 +221,49 @@
   t.same(waiting.map((id) => countRuns(running, id)), [0, 0, 0, 0]);
   t.equal(await readLeftBehind(running), 4);
 });
+
+// Guards against a waiting request that runs although its time is over when its turn
+// comes.
+test("the time of a waiting request counts from its arrival", async (t) => {
+  const running = await startTestSite(t);
+  for (const upstream of running.upstreams) {
+    upstream.faults.silentMilliseconds = 1_000;
+  }
+  const [first, second] = createRequests("write", "late");
+  if (first === undefined || second === undefined) throw new Error("None");
+  const headers = { "X-Patience-Ms": "500" };
+  const caller = await AheadCaller.open(running.url);
+  caller.send([first, { ...second, headers }]);
+  const answers = await caller.readAnswers(2);
+  caller.socket.destroy();
+  t.equal(answers[0]?.status, 200);
+  t.equal(answers[1]?.status, 503, "it is refused, because it has not run");
+  t.equal(countRuns(running, "late-b"), 0);
+});
+
+// Guards against a request that is refused because of those that wait behind it.
+test("waiting requests count as open and are refused in their turn", async (t) => {
+  const running = await startTestSite(t, {
+    gatewaySettings: { max_requests: 2 },
+  });
+  for (const upstream of running.upstreams) {
+    upstream.faults.silentMilliseconds = 200;
+  }
+  const requests = createRequests("write", "many");
+  const caller = await AheadCaller.open(running.url);
+  caller.send([...requests, ...createRequests("write", "more")]);
+  const answers = await caller.readAnswers(6);
+  caller.socket.destroy();
+  t.same(
+    answers.map(({ status }) => status),
+    [200, 200, 503, 503, 200, 200],
+  );
+  t.same(
+    ["a", "b", "c"].map((letter) => countRuns(running, `many-${letter}`)),
+    [1, 1, 0],
+  );
+  t.same(
+    ["a", "b", "c"].map((letter) => countRuns(running, `more-${letter}`)),
+    [0, 1, 1],
+  );
+});
--- a/packages/core/src/http/ordered_connection.ts
+++ b/packages/core/src/http/ordered_connection.ts
@@ -25,8 +25,8 @@
 export interface ConnectionOwner {
   /** True if connections end after the answers of what was read on them. */
   readonly isEnding: boolean;
-  /** Called when a request was read. */
-  handleRead(): void;
+  /** Called when a request was read; returns the number of open requests. */
+  handleRead(): number;
   /** Called when a request was answered, or its connection has closed. */
   handleEnd(): void;
   /** Called when requests were read that will not be run. */
@@ -74,7 +74,7 @@
 
   /** Runs a request in its turn. */
   add(response: OrderedResponse, run: () => void): void {
-    this.#owner.handleRead();
+    response.openRequests = this.#owner.handleRead();
     this.#waiting.push({ response, run });
     response.follow({
       // The answer before this one closes in this tick.
--- a/packages/core/src/http/ordered_response.ts
+++ b/packages/core/src/http/ordered_response.ts
@@ -16,6 +16,8 @@
 export class OrderedResponse extends ServerResponse {
   /** When the head of the request was read, by the local clock, ms. */
   readonly arrivedAt = performance.now();
+  /** Open requests of the server when this one was read, with it. */
+  openRequests = 0;
   #steps: ResponseSteps | undefined;
 
   /** Sets what is called as the answer advances. */
--- a/packages/core/src/http/ordered_server.ts
+++ b/packages/core/src/http/ordered_server.ts
@@ -58,7 +58,7 @@
       get isEnding() {
         return isEnding();
       },
-      handleRead: () => this.#openRequests++,
+      handleRead: () => ++this.#openRequests,
       handleEnd: () => this.#openRequests--,
       handleLeftBehind: (requests, reason) =>
         this.#recordLeftBehind(requests, reason),
--- a/packages/gateway/src/calls/open_call.ts
+++ b/packages/gateway/src/calls/open_call.ts
@@ -109,6 +109,8 @@
       () => this.#controller.abort(ABORT_REASONS.TIMEOUT),
       Math.max(0, this.deadlineAt - now),
     );
+    // A request may have waited behind others of its connection for too long.
+    if (now >= this.deadlineAt) this.#controller.abort(ABORT_REASONS.TIMEOUT);
     const handleClose = () => {
       parts.unread.remove(this);
       if (!parts.response.writableFinished) {
--- a/packages/gateway/src/http/caller_server.ts
+++ b/packages/gateway/src/http/caller_server.ts
@@ -191,7 +191,7 @@
    */
   async #openCall(parts: {
     readonly request: IncomingMessage;
-    readonly response: ServerResponse;
+    readonly response: OrderedResponse;
     readonly arrivedAt: number;
   }): Promise<Outcome<OpenCall>> {
     const { request } = parts;
@@ -217,14 +217,16 @@
 
   #createCall(parts: {
     readonly request: IncomingMessage;
-    readonly response: ServerResponse;
+    readonly response: OrderedResponse;
     readonly arrivedAt: number;
     readonly body: Buffer;
     readonly admission: Admission;
   }): Outcome<OpenCall> {
     const { request, response, arrivedAt, body, admission } = parts;
     const { dialect, random, maxRequests } = this.#options;
-    if (this.#server.openRequests > maxRequests) {
+    // Requests that were read after this one do not count against it.
+    const { openRequests } = this.#server;
+    if (Math.min(openRequests, response.openRequests) > maxRequests) {
       return fail(
         RESULT_CODES.OVERLOADED,
         RESULT_CODES.OVERLOADED.meaning,
