--- a/packages/gateway/src/http/caller_server.ts
+++ b/packages/gateway/src/http/caller_server.ts
@@ -97,6 +97,11 @@
   readonly metrics: Metrics;
 }
 
+/** A request in its turn on its connection. */
+interface ArrivedRequest extends WaitingRequest {
+  readonly response: OrderedResponse;
+}
+
 /** HTTP server of a gateway for its callers. */
 export class CallerServer {
   readonly #options: CallerServerOptions;
@@ -230,7 +235,7 @@
    * Admits a request before its body is read, and again afterwards with the
    * document in force then.
    */
-  async #openCall(parts: WaitingRequest): Promise<Outcome<OpenCall>> {
+  async #openCall(parts: ArrivedRequest): Promise<Outcome<OpenCall>> {
     const { request } = parts;
     const { bodies, dialect } = this.#options;
     // Admission may wait for a newer document: callers retry only a few times,
@@ -275,14 +280,16 @@
   #createCall(parts: {
     readonly head: CallHead;
     readonly facts: CallFacts;
-    readonly response: ServerResponse;
+    readonly response: OrderedResponse;
     readonly arrivedAt: number;
     readonly body: RequestBody;
     readonly admission: Admission;
   }): Outcome<OpenCall> {
     const { head, facts, response, arrivedAt, body, admission } = parts;
     const { random, maxRequests } = this.#options;
-    if (this.#server.openRequests > maxRequests) {
+    // Requests that were read after this one do not count against it.
+    const { openRequests } = this.#server;
+    if (Math.min(openRequests, response.openRequests) > maxRequests) {
       return fail(
         RESULT_CODES.OVERLOADED,
         RESULT_CODES.OVERLOADED.meaning,
