--- a/packages/core/src/settings/schema.ts
+++ b/packages/core/src/settings/schema.ts
@@ -350,7 +350,7 @@
     }),
     requestTotalBytes: numberField(
       "Memory for the bodies and the joined prompts of all requests; one without room is refused.",
-      { fallback: 33_554_432, min: 1_048_576, max: 4_294_967_296 },
+      { fallback: 25_165_824, min: 1_048_576, max: 4_294_967_296 },
     ),
     answerTotalBytes: numberField(
       "Memory for answers that are read to their end before they are sent, and for the outputs of turns.",
--- a/packages/gateway/src/calls/run_turn.ts
+++ b/packages/gateway/src/calls/run_turn.ts
@@ -13,19 +13,22 @@
   type TurnRecord,
 } from "@mallowlift/core";
 import { Ok } from "ts-results";
-import type { ByteAccount } from "../memory/byte_account.ts";
-import type { TurnOutputs } from "../memory/turn_outputs.ts";
-import { refuseForRoom } from "../memory/refuse_for_room.ts";
 import type { PermitPool } from "../quotas/permit_pool.ts";
 import type { SiteClient } from "../site/site_client.ts";
-import { findOwner, findScope, scopeId } from "../workspaces/scoped_id.ts";
-import type { CallDependencies } from "./call_dependencies.ts";
+import { findScope, scopeId } from "../workspaces/scoped_id.ts";
 import { EventRelay } from "./event_relay.ts";
 import type { OpenCall } from "./open_call.ts";
 import { failCall, relayAnswer } from "./run_plain_call.ts";
 import { sendCall } from "./send_call.ts";
-import { joinPrompt, measurePrompt, type TurnCache } from "./turn_cache.ts";
+import type { TurnCache } from "./turn_cache.ts";
 import { TurnObserver } from "./turn_observer.ts";
+import {
+  recordFullOutput,
+  refuseOutput,
+  refusePrompt,
+  tryJoinPrompt,
+  type TurnRoom,
+} from "./turn_room.ts";
 import type { TurnPlacementRequests } from "./turn_placement_requests.ts";
 
 /** Retry delay while there is no leader, ms: about the time of an election. */
@@ -36,14 +39,10 @@
 const SETTLE_TIMEOUT_MILLISECONDS = 10_000;
 
 /** Dependencies of turns in addition to those of all calls. */
-export interface TurnDependencies extends CallDependencies {
+export interface TurnDependencies extends TurnRoom {
   readonly client: SiteClient;
   readonly permits: PermitPool;
   readonly cache: TurnCache;
-  /** Room for the outputs of turns. */
-  readonly outputs: TurnOutputs;
-  /** Memory of the bodies and the joined prompts of requests. */
-  readonly requests: ByteAccount;
   readonly placement: TurnPlacementRequests;
 }
 
@@ -66,14 +65,19 @@
   const room = keepsHistory
     ? parts.outputs.tryOpen(performance.now())
     : undefined;
-  if (keepsHistory && room === undefined) return refuseOutput(call, parts);
+  if (keepsHistory && room === undefined) {
+    return failCall(call, parts, refuseOutput(call, parts));
+  }
   if (room !== undefined) call.addReservation(room);
   const begun = await beginTurn(call, parts);
   if (begun.err) return refuseTurn(call, parts, begun.val);
   const { chain, latestUpstream, placedUpstream } = begun.val;
   const observer = placedUpstream === "" ? undefined : new TurnObserver();
   const prompt = tryJoinPrompt(call, chain);
-  if (prompt === undefined) return refuseFullTurn(call, parts, chain);
+  if (prompt === undefined) {
+    settleTurn(call, parts, { events: 0 });
+    return failCall(call, parts, refusePrompt(call, parts, chain));
+  }
   const relay = new EventRelay(call, { observer, room });
   const result = await sendCall(call, parts, {
     body: prompt,
@@ -107,64 +111,6 @@
   await endTurn(call, parts, { relay, upstream: result.upstream, observer });
 }
 
-/**
- * The history and the input of a turn; undefined if there is no room for a copy.
- * Without a history, the input is the prompt.
- */
-function tryJoinPrompt(
-  call: OpenCall,
-  chain: readonly TurnRecord[],
-): Buffer | undefined {
-  const { body } = call.parts;
-  if (chain.length === 0) return body.bytes;
-  const hasRoom = body.tryExtend(measurePrompt(chain, body.bytes));
-  return hasRoom ? joinPrompt(chain, body.bytes) : undefined;
-}
-
-/** Refuses a turn that has begun at the stores and is not sent. */
-function refuseFullTurn(
-  call: OpenCall,
-  parts: TurnDependencies,
-  chain: readonly TurnRecord[],
-): void {
-  const { table, workspace, facts } = call.parts;
-  const owner = findOwner(table.document, workspace);
-  const error = refuseForRoom(
-    { ...parts, account: parts.requests },
-    {
-      callId: facts.callId,
-      owner,
-      bytes: measurePrompt(chain, call.parts.body.bytes),
-      now: performance.now(),
-    },
-  );
-  countRefusal(parts.metrics, "turns", error.code);
-  settleTurn(call, parts, { events: 0 });
-  failCall(call, parts, { error, notRun: true });
-}
-
-/** Refuses a turn that has not begun, because its output might not fit. */
-function refuseOutput(call: OpenCall, parts: TurnDependencies): void {
-  const { facts, table, workspace } = call.parts;
-  const { account, expectedBytes: bytes } = parts.outputs;
-  const owner = findOwner(table.document, workspace);
-  const now = performance.now();
-  const refused = { callId: facts.callId, owner, bytes, now };
-  const error = refuseForRoom({ ...parts, account }, refused);
-  countRefusal(parts.metrics, "turns", error.code);
-  failCall(call, parts, { error, notRun: true });
-}
-
-function recordFullOutput(call: OpenCall, parts: TurnDependencies): void {
-  countRefusal(parts.metrics, "answers", RESULT_CODES.REQUESTS_FULL);
-  parts.logger.warn("No room for the output of a turn", {
-    call: call.parts.facts.callId,
-    program: call.parts.facts.programId,
-    held_bytes: parts.answers.bytes,
-    limit_bytes: parts.answers.maxBytes,
-  });
-}
-
 /** The ids of a turn in the stores, scoped to its workspace. */
 function findTurnIds(
   call: OpenCall,
--- a/packages/gateway/src/http/request_bodies.ts
+++ b/packages/gateway/src/http/request_bodies.ts
@@ -18,7 +18,7 @@
 import { findBodyLength, readBody } from "./read_body.ts";
 
 /** Fraction of the room that a body in chunks reserves once it is not small. */
-const CHUNK_STEP_FRACTION = 1 / 8;
+const CHUNK_STEP_FRACTION = 1 / 6;
 
 /** Options of {@linkcode RequestBodies}. */
 export interface RequestBodiesOptions {
