A call that no upstream can get in its time is refused at once

Callers were held up to half of their time, and then got 503 with the default Retry-After, if all upstreams were in a backoff that ended later.

Cause of the reported wait of a read of up to 4 s: not the upstreams that cut its head, but the backoffs that earlier cuts had left, which double up to 4 s; a call waits for the first to end before its first send.

Change: the time from which the first upstream can be used is compared with the time up to which the call is offered. If it is later, the call is refused at once, with that time in Retry-After.

--- a/packages/bench/src/gateways/cut_heads_test.ts
+++ b/packages/bench/src/gateways/cut_heads_test.ts
@@ -15,6 +15,7 @@
 const UPSTREAMS = 8;
 const OK = 200;
 const BAD_GATEWAY = 502;
+const UNAVAILABLE = 503;
 const ROUTES = [
   { path: "/write/", type: "text/plain", mayRepeat: false },
   { path: "/read/", type: "text/plain", mayRepeat: true },
@@ -89,3 +90,30 @@
     }
   }
 });
+
+// Guards against a call that waits for upstreams in a backoff that ends after the time
+// in which the call can still be sent.
+test("a call that no upstream can get in its time is refused with the time of the next try", async (t) => {
+  const { script, url } = await startUnrulySite(t, { upstreams: 2 });
+  const step = createStep("end_in_header", {
+    resets: false,
+    type: "text/plain",
+  });
+  const answers: { callId: string; status: number; retryAfter: number }[] = [];
+  for (let call = 0; call < 12; call++) {
+    const callId = `cut-${call}`;
+    script.plan(callId, [step, step]);
+    const { status, retryAfter } = await callGateway(url, {
+      callId,
+      path: "/read/",
+      headers: { "x-patience-ms": "1000" },
+    });
+    answers.push({ callId, status, retryAfter: Number(retryAfter ?? 0) });
+  }
+  for (const { callId, status } of answers) {
+    const runs = script.runs.get(callId) ?? 0;
+    t.equal(status, runs > 0 ? BAD_GATEWAY : UNAVAILABLE, callId);
+  }
+  const longest = Math.max(...answers.map(({ retryAfter }) => retryAfter));
+  t.ok(longest > 0.5, "the caller is told when an upstream is tried again");
+});
--- a/packages/gateway/src/calls/send_call.ts
+++ b/packages/gateway/src/calls/send_call.ts
@@ -80,6 +80,11 @@
     const upstream = chooseUpstream(call, parts, { options, tried, now });
     if (upstream === undefined) {
       if (now > offeredUntil || possibleRuns > 0) break;
+      const usableAt = parts.upstreams.findUsableAt(call.parts.service) ?? now;
+      if (usableAt > offeredUntil) {
+        lastError = { ...lastError, retryAfterMilliseconds: usableAt - now };
+        break;
+      }
       // An upstream that refused may be tried again after its backoff.
       tried.clear();
       await sleep(ALL_FULL_DELAY_MILLISECONDS, call.signal);
--- a/packages/gateway/src/upstreams/upstream_health.ts
+++ b/packages/gateway/src/upstreams/upstream_health.ts
@@ -73,6 +73,14 @@
     return now < this.#fullUntil;
   }
 
+  /**
+   * Time from which neither a backoff nor a report that the upstream is full
+   * keeps it out of use, by the local clock, ms.
+   */
+  get usableAt(): number {
+    return Math.max(this.#backoffUntil, this.#fullUntil);
+  }
+
   /**
    * True if the upstream has failed recently and has not answered successfully
    * since.
--- a/packages/gateway/src/upstreams/upstream_table.ts
+++ b/packages/gateway/src/upstreams/upstream_table.ts
@@ -107,6 +107,19 @@
     }
   }
 
+  /**
+   * Time from which an upstream of a service may be used, by the local clock,
+   * ms; undefined if none is available.
+   */
+  findUsableAt(service: string): number | undefined {
+    let usableAt: number | undefined;
+    for (const { isAvailable, health } of this.#byService.get(service) ?? []) {
+      if (!isAvailable) continue;
+      usableAt = Math.min(usableAt ?? Infinity, health.usableAt);
+    }
+    return usableAt;
+  }
+
   /** Number of listed instances of a service. */
   count(service: string): number {
     return this.#byService.get(service)?.length ?? 0;
--- a/packages/gateway/src/upstreams/upstream_table_test.ts
+++ b/packages/gateway/src/upstreams/upstream_table_test.ts
@@ -103,3 +103,26 @@
   t.not(table.choose({ ...options, now: 400 }), first);
   t.end();
 });
+
+// Guards against a call that waits for upstreams none of which may be used in its time.
+test("a service can be used when the first of its upstreams can", (t) => {
+  const table = new UpstreamTable(() => 0, "d");
+  t.equal(table.findUsableAt("s"), undefined, "none is listed");
+  table.update(["a", "b"].map((id) => createInstance(id)));
+  const [first, second] = [...table.list()];
+  if (first === undefined || second === undefined) throw new Error("None");
+  first.health.markFull(1_000, 500);
+  t.ok(
+    (table.findUsableAt("s") ?? Infinity) <= 1_000,
+    "the second may be used",
+  );
+  second.health.markFull(1_000, 900);
+  t.equal(table.findUsableAt("s"), 1_500);
+  for (let failure = 0; failure < 2; failure++) {
+    first.health.recordFailure(1_000 + failure * 200);
+  }
+  t.equal(table.findUsableAt("s"), 1_600, "its second backoff has doubled");
+  first.retire();
+  t.equal(table.findUsableAt("s"), 1_900, "a retired upstream does not count");
+  t.end();
+});
