A sidecar takes no answer with an invalid status, coding or length

Callers of a service got the beginning of a body as all of it where its length had lost digits, and the bytes of chunks where the coding had: Node.js reads an unknown coding up to the end of the connection and takes any status. Bytes behind the length failed the request only after the answer was complete.

--- a/packages/sidecar/src/upstream/http_client.ts
+++ b/packages/sidecar/src/upstream/http_client.ts
@@ -17,6 +17,8 @@
  */
 const OVERHEAD_BYTES = 131_072;
 const OVERHEAD_PER_BODY_BYTE = 2;
+const FIRST_FINAL_STATUS = 200;
+const RESPONSE_START = "HTTP/1.";
 
 /** An HTTP response with its complete body. */
 export interface HttpResponse {
@@ -51,8 +53,12 @@
   #receivedBytes = 0;
   #bodyBytes = 0;
   #isReset = false;
+  #isTooLong = false;
 
   constructor(request: ClientRequest) {
+    request.on("error", (error: ParseError) => {
+      this.#isTooLong ||= isFollowedByBody(error);
+    });
     request.once("socket", (socket) => {
       // Node.js may report a reset that comes with the last bytes as an end.
       socket.once(
@@ -76,6 +82,14 @@
     return this.#isReset;
   }
 
+  /**
+   * True if bytes came behind the response that begin no other one: its
+   * Content-Length may have lost digits.
+   */
+  get isTooLong(): boolean {
+    return this.#isTooLong;
+  }
+
   get #allowedOverhead(): number {
     return OVERHEAD_BYTES + OVERHEAD_PER_BODY_BYTE * this.#bodyBytes;
   }
@@ -130,6 +144,11 @@
       "close",
       () => request.signal?.removeEventListener("abort", abort),
     );
+    const problem = findHeadProblem(response);
+    if (problem !== undefined) {
+      response.destroy();
+      throw new Error(problem);
+    }
     return { response, limit };
   }
 
@@ -153,6 +172,9 @@
       const isFramed = response.headers["content-length"] !== undefined ||
         response.headers["transfer-encoding"] !== undefined;
       if (limit.isReset && !isFramed) throw new Error("The response was reset");
+      if (limit.isTooLong) {
+        throw new Error("The response is longer than its Content-Length");
+      }
       return {
         status: response.statusCode ?? 0,
         body: body.bytes.toString(),
@@ -163,6 +185,33 @@
   }
 }
 
+/**
+ * Returns why the head of a response is invalid; Node.js takes any status, and
+ * reads a response with an unknown coding up to the end of its connection.
+ */
+function findHeadProblem(response: IncomingMessage): string | undefined {
+  const { statusCode = 0, headers } = response;
+  if (statusCode < FIRST_FINAL_STATUS) return "The status is invalid";
+  const coding = headers["transfer-encoding"];
+  if (coding === undefined || coding.toLowerCase() === "chunked") {
+    return undefined;
+  }
+  return "The response has an unsupported Transfer-Encoding";
+}
+
+/** An error of the parser of Node.js, with what it has parsed. */
+interface ParseError extends NodeJS.ErrnoException {
+  readonly rawPacket?: Buffer;
+  readonly bytesParsed?: number;
+}
+
+/** True if the parser failed on bytes that begin no response. */
+function isFollowedByBody({ rawPacket, bytesParsed }: ParseError): boolean {
+  if (rawPacket === undefined || bytesParsed === undefined) return false;
+  const rest = rawPacket.toString("latin1", bytesParsed).trimStart();
+  return !RESPONSE_START.startsWith(rest.slice(0, RESPONSE_START.length));
+}
+
 /** Returns true if the connection was refused, so no request was sent. */
 export function isConnectionRefused(thrown: unknown): boolean {
   let error = thrown as
