A soak of planned stops under kept connections, large bodies and deadlines

Checked from outside: what was written whole and ran has a whole answer, unless its gateway was killed; 401, 402, 408, 421, 429 and 503 mean that it never ran; what may not repeat runs once; a stop ends with code 0; no gateway ends by itself; VmHWM stays within the heap limit (110 MB), 50 MB, history_bytes and all *_total_bytes, 240 MB at the defaults, with the options of the deployment.

The recorder of the fake upstream no longer fails when a body is broken off on its way, which was an unhandled rejection; its request counts as not run, as before.

--- a/packages/bench/src/gateway_soak/caller_records.ts
+++ b/packages/bench/src/gateway_soak/caller_records.ts
@@ -18,10 +18,13 @@
   REVOKED: "a key that was taken away runs nowhere after the bound",
   QUOTA: "a workspace stays within its quota over all gateways",
   CLEAN_STOP: "a planned stop ends by itself, without a fault",
+  ANSWERED: "what ran at an upstream has a whole answer, also around a stop",
+  STAYS_UP: "a gateway ends only when it is told to",
+  MEMORY: "the memory of a gateway stays within its settings",
 } as const;
 
 /** Statuses that guarantee that the request has not run and never will. */
-const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([
+export const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([
   401,
   402,
   408,
@@ -81,6 +84,11 @@
     this.counts.set(name, (this.counts.get(name) ?? 0) + 1);
   }
 
+  /** Records the largest value of a figure by name. */
+  recordMost(name: string, value: number): void {
+    this.counts.set(name, Math.max(this.counts.get(name) ?? 0, value));
+  }
+
   /** Records a violation of a promise. */
   fail(promise: string, details: string): void {
     this.broken.push({ promise, details });
--- a/packages/bench/src/gateway_soak/document_operator.ts
+++ b/packages/bench/src/gateway_soak/document_operator.ts
@@ -25,6 +25,8 @@
   readonly random: Random;
   readonly records: CallerRecords;
   readonly isOver: () => boolean;
+  /** Changes each document before it is sent; by default none is changed. */
+  readonly adapt?: (document: RoutingDocument) => RoutingDocument;
 }
 
 /** Sends pairs of documents with increasing versions concurrently. */
@@ -37,7 +39,10 @@
 
   constructor(options: DocumentOperatorOptions) {
     this.#options = options;
-    this.#sent.set(this.#version, JSON.stringify(INITIAL_DOCUMENT));
+    this.#sent.set(
+      this.#version,
+      JSON.stringify(this.#adapt(INITIAL_DOCUMENT)),
+    );
   }
 
   /** Newest version that has been sent. */
@@ -71,10 +76,14 @@
     return true;
   }
 
+  #adapt(document: RoutingDocument): RoutingDocument {
+    return this.#options.adapt?.(document) ?? document;
+  }
+
   /** Sends a document, sometimes twice; the answer may be lost. */
   async #replace(version: number): Promise<void> {
     const { random, records } = this.#options;
-    const text = JSON.stringify(createDocument(version));
+    const text = JSON.stringify(this.#adapt(createDocument(version)));
     this.#sent.set(version, text);
     const rounds = random.happens(30) ? 2 : 1;
     for (let round = 0; round < rounds; round++) {
--- a/packages/bench/src/gateway_soak/gateway_soak.ts
+++ b/packages/bench/src/gateway_soak/gateway_soak.ts
@@ -7,7 +7,8 @@
 import process from "node:process";
 import { createNumberParser } from "@mallowlift/cli";
 import { Command } from "commander";
-import { runGatewaySoak } from "./run_gateway_soak.ts";
+import { type GatewaySoakResult, runGatewaySoak } from "./run_gateway_soak.ts";
+import { runStopSoak } from "./run_stop_soak.ts";
 import { DEFAULT_SIZE } from "./soak_site.ts";
 
 const MAX_SEED = 2 ** 21;
@@ -16,6 +17,19 @@
   process.stdout.write(`${line}\n`);
 }
 
+/** Options of the command line. */
+interface SoakOptions {
+  readonly seed: number;
+  readonly seeds: number;
+  readonly seconds: number;
+  readonly callers: number;
+  readonly uploaders: number;
+  readonly gateways: number;
+  readonly stores: number;
+  /** True for a soak of planned stops. */
+  readonly stops: boolean;
+}
+
 async function main(): Promise<boolean> {
   const numberOption = (least: number, most: number) =>
     createNumberParser({ minimum: least, maximum: most });
@@ -36,13 +50,15 @@
       numberOption(3, 100),
       DEFAULT_SIZE.stores,
     )
+    .option(
+      "--uploaders <number>",
+      "callers with large bodies at once, of planned stops",
+      numberOption(0, 1_000),
+      45,
+    )
+    .option("--stops", "planned stops under kept connections", false)
     .parse()
-    .opts<
-      Record<
-        "seed" | "seeds" | "seconds" | "callers" | "gateways" | "stores",
-        number
-      >
-    >();
+    .opts<SoakOptions>();
   let allHeld = true;
   for (let seed = options.seed; seed < options.seed + options.seeds; seed++) {
     allHeld = await runSeed(seed, options) && allHeld;
@@ -50,24 +66,21 @@
   return allHeld;
 }
 
-async function runSeed(
+async function runSoak(
   seed: number,
-  options: {
-    readonly seconds: number;
-    readonly callers: number;
-    readonly gateways: number;
-    readonly stores: number;
-  },
-): Promise<boolean> {
-  const { gateways, stores } = options;
-  const result = await runGatewaySoak({
-    seed,
-    seconds: options.seconds,
-    callers: options.callers,
-    size: { ...DEFAULT_SIZE, gateways, stores },
-    folder: resolve(".site", `gateway-soak-${seed}`),
-    print: () => undefined,
-  });
+  options: SoakOptions,
+): Promise<GatewaySoakResult> {
+  const { seconds, callers, uploaders, gateways, stores, stops } = options;
+  const size = { ...DEFAULT_SIZE, gateways, stores };
+  const folder = resolve(".site", `gateway-soak-${seed}`);
+  const plan = { seed, seconds, callers, size, folder };
+  return stops
+    ? await runStopSoak({ ...plan, uploaders })
+    : await runGatewaySoak({ ...plan, print: () => undefined });
+}
+
+async function runSeed(seed: number, options: SoakOptions): Promise<boolean> {
+  const result = await runSoak(seed, options);
   const faultCounts = [...result.counts].filter(([name]) =>
     name.startsWith("fault: ")
   );
--- a/packages/mocks/src/opaque/opaque_upstream.ts
+++ b/packages/mocks/src/opaque/opaque_upstream.ts
@@ -16,6 +16,8 @@
 const MISDIRECTED = 421;
 const FAILED = 500;
 const UNAVAILABLE = 503;
+/** Header of a request with the time from it to the headers of its answer, ms. */
+export const WORK_HEADER = "x-work-milliseconds";
 /** Number and size in bytes of the parts of an answer to a "large" target. */
 const LARGE_PARTS = 20;
 const LARGE_PART_BYTES = 1_048_576;
@@ -95,6 +97,8 @@
   readonly endedBy: string[] = [];
   /** Number of events in each stream. */
   events = 3;
+  /** Bytes of each body that are recorded. */
+  recordedBytes = Infinity;
   /** Bytes that are added to the data of each event. */
   paddingBytes = 0;
   /** Events that were written to all streams. */
@@ -155,8 +159,8 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
-    const parts: Buffer[] = [];
-    for await (const part of request) parts.push(part as Buffer);
+    const body = await readBody(request, this.recordedBytes);
+    if (body === undefined) return;
     const callId = String(request.headers["x-call-id"]);
     response.setHeader("x-call-id", callId);
     if (request.headers["x-instance"] !== this.id) {
@@ -167,7 +171,6 @@
       response.writeHead(UNAVAILABLE, { "x-not-run": "1" }).end();
       return;
     }
-    const body = Buffer.concat(parts).toString();
     const target = request.url ?? "";
     const { method = "", headers } = request;
     this.runs.push({ callId, method, target, body, headers });
@@ -179,9 +182,10 @@
     }
     if (this.faults.fails) return void response.writeHead(FAILED).end("failed");
     if (this.faults.dropsAnswers) return void request.socket.destroy();
-    if (this.faults.silentMilliseconds > 0) {
-      await sleep(this.faults.silentMilliseconds);
-    }
+    const workMilliseconds = Number(
+      headers[WORK_HEADER] ?? this.faults.silentMilliseconds,
+    );
+    if (workMilliseconds > 0) await sleep(workMilliseconds);
     if (target.includes("large")) return await this.#sendLargeAnswer(response);
     const last = Number(request.headers["last-event-id"] ?? 0);
     if (target.includes("stream")) await this.#stream(body, response, last);
@@ -247,6 +251,28 @@
   }
 }
 
+/**
+ * Reads a body, up to a number of bytes; undefined if it has not arrived
+ * completely, so that the request is not run.
+ */
+async function readBody(
+  request: IncomingMessage,
+  maxBytes: number,
+): Promise<string | undefined> {
+  const parts: Buffer[] = [];
+  let bytes = 0;
+  try {
+    for await (const part of request as AsyncIterable<Buffer>) {
+      if (bytes < maxBytes) parts.push(part);
+      bytes += part.length;
+    }
+  } catch {
+    // The gateway has closed the connection within the body.
+    return undefined;
+  }
+  return Buffer.concat(parts).subarray(0, maxBytes).toString();
+}
+
 /** Returns the data of an event, which depends on the complete prompt. */
 export function describeEvent(prompt: string, event: number): string {
   const digest = createHash("sha256").update(prompt).digest("hex");
