--- a/packages/entry/src/http/serve_route.ts
+++ b/packages/entry/src/http/serve_route.ts
@@ -55,10 +55,7 @@
   return async (request, toolkit) => {
     if (context.isDraining()) {
       await discardBody(request);
-      return refuse(context, toolkit, DRAINING_ERROR).header(
-        "connection",
-        "close",
-      );
+      return refuse(context, toolkit, DRAINING_ERROR);
     }
     context.requests.add(request, performance.now());
     const body = await readBody(context, request);
