An answer that does not continue a caller's stream does not end the process

After a stream had begun, an answer of the next upstream that was larger than 1 MiB, or found no room to be buffered, was passed on: writing its head threw in a callback of the connection, and nothing catches that. Now the attempt is lost and the stream broken off. The test of run_attempt pins the refusal of the sink.

--- a/packages/gateway/src/calls/attempt.ts
+++ b/packages/gateway/src/calls/attempt.ts
@@ -62,7 +62,8 @@
 
 /** Receives a large answer as it arrives. */
 export interface BodySink {
-  start(head: AnswerHead, framing: AnswerFraming): void;
+  /** Returns false if the caller has received the beginning of another answer. */
+  start(head: AnswerHead, framing: AnswerFraming): boolean;
   push(bytes: Buffer): void;
 }
 
--- a/packages/gateway/src/calls/body_relay.ts
+++ b/packages/gateway/src/calls/body_relay.ts
@@ -24,12 +24,14 @@
    * Starts the caller's answer, with its length if the upstream sent one, and
    * without framing if the upstream's answer has none.
    */
-  start(head: AnswerHead, framing: AnswerFraming): void {
+  start(head: AnswerHead, framing: AnswerFraming): boolean {
+    if (this.#call.hasStartedAnswer) return false;
     if (framing === ANSWER_FRAMINGS.CONNECTION_END) this.#call.omitFraming();
     const length = findHeader(head.headers, "content-length") ?? "";
     const headers = dropHopHeaders(head.headers);
     if (DIGITS.test(length)) headers.push("Content-Length", length);
     this.#call.startAnswer(head.status, headers);
+    return true;
   }
 
   /** Sends bytes to the caller. */
--- a/packages/gateway/src/calls/open_call.ts
+++ b/packages/gateway/src/calls/open_call.ts
@@ -303,7 +303,7 @@
   startAnswer(status: number, headers: RawHeaders): void {
     this.summary.status = status;
     const { response } = this.parts;
-    if (response.destroyed) return;
+    if (response.destroyed || response.headersSent) return;
     response.writeHead(status, [...headers]);
     response.flushHeaders();
     this.#hasFramedAnswer = response.chunkedEncoding ||
--- a/packages/gateway/src/calls/run_attempt.ts
+++ b/packages/gateway/src/calls/run_attempt.ts
@@ -324,9 +324,11 @@
     if (head === undefined || framing === undefined) {
       return this.#abandonUnexpected();
     }
+    if (!this.#options.body.start(head, framing)) {
+      return this.#spoil("The answer does not continue the one that has begun");
+    }
     this.#isForwarding = true;
     this.#recordResult(head);
-    this.#options.body.start(head, framing);
     this.#options.flow.setSource(this);
     if (this.#buffered.length > 0) {
       this.#options.body.push(this.#buffered.bytes);
--- a/packages/gateway/src/calls/run_attempt_test.ts
+++ b/packages/gateway/src/calls/run_attempt_test.ts
@@ -47,7 +47,7 @@
     silentMilliseconds: Infinity,
     streamSilentMilliseconds: Infinity,
     maxAnswerBytes: Infinity,
-    body: { start: () => undefined, push: () => undefined },
+    body: { start: () => true, push: () => undefined },
     flow: { setSource: () => undefined },
     openAnswer: () =>
       new ByteAccount(LIMITS.totalBytes).open({ owner: undefined, now: 0 }),
@@ -127,3 +127,30 @@
   t.equal(await run(), "lost");
   t.equal(await run(), "whole");
 });
+
+// Guards against an answer that does not continue the caller's stream: passing on its
+// head threw in a callback of the connection and ended the process.
+test("an answer that cannot be passed on is a lost attempt", async (t) => {
+  const body = "x".repeat(64);
+  const answer = "HTTP/1.1 500 Failed\r\nx-call-id: c\r\n" +
+    `Content-Length: ${body.length}\r\n\r\n${body}`;
+  const server = createServer((socket) => {
+    socket.on("error", () => socket.destroy());
+    socket.on("data", () => void socket.write(answer));
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, "127.0.0.1", () => resolve());
+  });
+  t.teardown(() => server.close());
+  const account = new ByteAccount(LIMITS.totalBytes);
+  t.ok(account.open({ owner: undefined, now: 0 }).tryResize(LIMITS.totalBytes));
+  const result = await runAttempt({
+    ...createOptions(createUpstream(server)),
+    openAnswer: () => account.open({ owner: undefined, now: 0 }),
+    body: {
+      start: () => false,
+      push: () => t.fail("nothing of it is passed on"),
+    },
+  });
+  t.equal(result.kind, "lost");
+});
