A request that is read after the final answers of a stop is refused at once

A call whose answer came with the abort is no longer counted as not run. No test of the suite covers the window.

--- a/packages/gateway/src/http/caller_server.ts
+++ b/packages/gateway/src/http/caller_server.ts
@@ -24,6 +24,7 @@
 } from "@mallowlift/core";
 import { parseAddress } from "@mallowlift/transport";
 import { Err, Ok } from "ts-results";
+import { createDrainingError } from "../calls/describe_abort.ts";
 import { OpenCall } from "../calls/open_call.ts";
 import type { UnreadAnswers } from "../calls/unread_answers.ts";
 import type { CallerDialect, CallFacts, CallHead } from "../dialect.ts";
@@ -165,7 +166,7 @@
     setTimeout(
       () =>
         void stop.answerOpen(this.#openCalls, this.#waiting, performance.now()),
-      stop.schedule.answersAt - now,
+      Math.ceil(stop.schedule.answersAt - now),
     );
     return stop;
   }
@@ -269,6 +270,10 @@
 
   /** Admits a request, unless a stop leaves too little time for it. */
   async #admit(parts: WaitingRequest): Promise<Outcome<Admission>> {
+    // Nothing would answer a request that begins to wait after the final answers.
+    if (this.#stop?.hasAnswered(performance.now()) === true) {
+      return Err(createDrainingError());
+    }
     const facts = describeRequest(parts.request);
     const admitted = await this.#options.admission.admit(facts);
     if (admitted.err) return admitted;
--- a/packages/gateway/src/http/caller_stop.ts
+++ b/packages/gateway/src/http/caller_stop.ts
@@ -5,6 +5,7 @@
   type CodedError,
   type Logger,
   type Metrics,
+  RESULT_CODES,
   ROUTE_KINDS,
   sleep,
 } from "@mallowlift/core";
@@ -101,6 +102,11 @@
     return canFinish ? undefined : createDrainingError();
   }
 
+  /** True once the final answers were due. */
+  hasAnswered(now: number): boolean {
+    return now >= this.schedule.answersAt;
+  }
+
   /** Counts a request that was admitted after the stop began. */
   recordAccepted(): void {
     this.#accepted++;
@@ -132,6 +138,8 @@
       if (!call.hasStartedAnswer) {
         failCall(call, this.#options, describeAbort(call));
       }
+      // Its answer had arrived before the abort.
+      if (call.summary.code === RESULT_CODES.OK.name) continue;
       this.#recordEnded(
         call,
         call.summary.possibleRuns === 0
