Backoffs do not refuse a call while the network is the likely cause

Found by the review: findUsableAt took backoffs at their word while the choice of an upstream ignores them when most of four or more back off, so calls that would have been served after a blip were refused for some 3 s.

--- a/packages/gateway/src/calls/send_call.ts
+++ b/packages/gateway/src/calls/send_call.ts
@@ -80,7 +80,8 @@
     const upstream = chooseUpstream(call, parts, { options, tried, now });
     if (upstream === undefined) {
       if (now > offeredUntil || summary.possibleRuns > 0) break;
-      const usableAt = parts.upstreams.findUsableAt(call.parts.service) ?? now;
+      const usableAt = parts.upstreams.findUsableAt(call.parts.service, now) ??
+        now;
       if (usableAt > offeredUntil) {
         lastError = { ...lastError, retryAfterMilliseconds: usableAt - now };
         break;
--- a/packages/gateway/src/upstreams/upstream_table.ts
+++ b/packages/gateway/src/upstreams/upstream_table.ts
@@ -111,13 +111,13 @@
    * Time from which an upstream of a service may be used, by the local clock,
    * ms; undefined if none is available.
    */
-  findUsableAt(service: string): number | undefined {
-    let usableAt: number | undefined;
-    for (const { isAvailable, health } of this.#byService.get(service) ?? []) {
-      if (!isAvailable) continue;
-      usableAt = Math.min(usableAt ?? Infinity, health.usableAt);
-    }
-    return usableAt;
+  findUsableAt(service: string, now: number): number | undefined {
+    const upstreams = this.#byService.get(service) ?? [];
+    const available = upstreams.filter(({ isAvailable }) => isAvailable);
+    if (available.length === 0) return undefined;
+    const notFull = available.filter(({ health }) => !health.isFull(now));
+    if (isNetworkSuspect(notFull, now)) return now;
+    return Math.min(...available.map(({ health }) => health.usableAt));
   }
 
   /** Number of listed instances of a service. */
@@ -216,6 +216,20 @@
   }
 }
 
+/**
+ * True if most of several upstreams seem to have failed: the network is the more
+ * likely cause, so their backoffs do not count.
+ */
+function isNetworkSuspect(
+  upstreams: readonly Upstream[],
+  now: number,
+): boolean {
+  if (upstreams.length < MIN_UPSTREAMS_FOR_OUTAGE) return false;
+  const backingOff = upstreams.filter(({ health }) => health.isBackingOff(now));
+  return upstreams.length - backingOff.length <
+    (1 - MAX_BACKING_OFF_RATIO) * upstreams.length;
+}
+
 /** Returns the upstreams that may get the call now. */
 function listUsable(
   upstreams: readonly Upstream[],
@@ -228,11 +242,7 @@
   const notBackingOff = available.filter((upstream) =>
     !upstream.health.isBackingOff(now)
   );
-  // If most upstreams seem to have failed, the network is the more likely
-  // cause.
-  const isNetworkSuspect = available.length >= MIN_UPSTREAMS_FOR_OUTAGE &&
-    notBackingOff.length < (1 - MAX_BACKING_OFF_RATIO) * available.length;
-  const allowed = isNetworkSuspect ? available : notBackingOff;
+  const allowed = isNetworkSuspect(available, now) ? available : notBackingOff;
   return allowed.filter((upstream) => !tried.has(upstream.instance.id));
 }
 
--- a/packages/gateway/src/upstreams/upstream_table_test.ts
+++ b/packages/gateway/src/upstreams/upstream_table_test.ts
@@ -107,22 +107,42 @@
 // Guards against a call that waits for upstreams none of which may be used in its time.
 test("a service can be used when the first of its upstreams can", (t) => {
   const table = new UpstreamTable(() => 0, "d");
-  t.equal(table.findUsableAt("s"), undefined, "none is listed");
+  t.equal(table.findUsableAt("s", 1_000), undefined, "none is listed");
   table.update(["a", "b"].map((id) => createInstance(id)));
   const [first, second] = [...table.list()];
   if (first === undefined || second === undefined) throw new Error("None");
   first.health.markFull(1_000, 500);
   t.ok(
-    (table.findUsableAt("s") ?? Infinity) <= 1_000,
+    (table.findUsableAt("s", 1_000) ?? Infinity) <= 1_000,
     "the second may be used",
   );
   second.health.markFull(1_000, 900);
-  t.equal(table.findUsableAt("s"), 1_500);
+  t.equal(table.findUsableAt("s", 1_000), 1_500);
   for (let failure = 0; failure < 2; failure++) {
     first.health.recordFailure(1_000 + failure * 200);
   }
-  t.equal(table.findUsableAt("s"), 1_600, "its second backoff has doubled");
+  t.equal(
+    table.findUsableAt("s", 1_000),
+    1_600,
+    "its second backoff has doubled",
+  );
   first.retire();
-  t.equal(table.findUsableAt("s"), 1_900, "a retired upstream does not count");
+  t.equal(
+    table.findUsableAt("s", 1_000),
+    1_900,
+    "a retired upstream does not count",
+  );
+  t.end();
+});
+
+// Guards against calls that are refused for backoffs which the choice of an upstream
+// does not heed.
+test("a service whose network is suspect can be used at once", (t) => {
+  const table = new UpstreamTable(() => 0, "d");
+  table.update(["a", "b", "c", "d"].map((id) => createInstance(id)));
+  for (const { health } of table.list()) {
+    for (const now of [1_000, 1_300, 1_800]) health.recordFailure(now);
+  }
+  t.equal(table.findUsableAt("s", 2_000), 2_000);
   t.end();
 });
