An answer that ends its connection is whole with a body behind it

Found by the review: a waiting request with an unread body keeps the connection paused, and closing it over unread bytes resets it: 127,962 of 200,000 bytes arrived, for an answer without framing as a clean end. The bodies behind are read and discarded before the answer ends.

--- a/packages/core/src/http/ordered_connection.ts
+++ b/packages/core/src/http/ordered_connection.ts
@@ -5,10 +5,14 @@
 
 /**
  * Waiting requests of a connection from which on it is not read. Up to that number,
- * a caller that disconnects is noticed.
+ * a caller that disconnects is noticed, unless a waiting request has a body that
+ * does not fit the buffer of its stream.
  */
 export const MAX_WAITING_REQUESTS = 16;
 
+/** Longest time for which bodies behind an answer that ends its connection are read, ms. */
+const DRAIN_MILLISECONDS = 5_000;
+
 /** Why requests were not run. */
 export const LEFT_BEHIND_REASONS = {
   /** The answer before them had to end the connection. */
@@ -55,6 +59,8 @@
   #running: OrderedResponse | undefined;
   #isPaused = false;
   #isUnreadable = false;
+  /** True once an answer has begun that ends the connection. */
+  #isClosing = false;
 
   constructor(socket: Socket, owner: ConnectionOwner) {
     this.#socket = socket;
@@ -76,10 +82,12 @@
   add(response: OrderedResponse, run: () => void): void {
     response.openRequests = this.#owner.handleRead();
     this.#waiting.push({ response, run });
+    if (this.#isClosing) response.req.resume();
     response.follow({
       // The answer before this one closes in this tick.
       onTurn: () => process.nextTick(() => this.#run(response)),
       onHead: () => this.#prepareHead(response),
+      onEnd: () => this.#isClosing ? this.#drainWaiting() : undefined,
     });
     if (response.socket === null) this.#updateReading();
     else this.#run(response);
@@ -125,6 +133,30 @@
   #prepareHead(response: OrderedResponse): void {
     const isLast = this.#owner.isEnding || this.#isUnreadable;
     if (isLast && this.#waiting.length === 0) response.shouldKeepAlive = false;
+    this.#isClosing = !response.shouldKeepAlive ||
+      response.getHeader("connection") === "close";
+    if (!this.#isClosing) return;
+    for (const waiting of this.#waiting) waiting.response.req.resume();
+  }
+
+  /**
+   * Resolves when the bodies of the waiting requests were read and discarded, or
+   * after a time. A connection that is closed with unread bytes is reset, and the
+   * caller would lose the rest of the answer before them.
+   */
+  #drainWaiting(): Promise<void> | undefined {
+    const bodies = this.#waiting.map(({ response }) => response.req)
+      .filter((request) => !request.complete && !request.destroyed);
+    if (bodies.length === 0) return undefined;
+    return new Promise((resolve) => {
+      const timer = setTimeout(resolve, DRAIN_MILLISECONDS);
+      const last = bodies.at(-1);
+      const end = () => {
+        clearTimeout(timer);
+        resolve();
+      };
+      last?.once("end", end).once("close", end);
+    });
   }
 
   #updateReading(): void {
--- a/packages/core/src/http/ordered_response.ts
+++ b/packages/core/src/http/ordered_response.ts
@@ -10,6 +10,10 @@
   readonly onTurn: () => void;
   /** The head is about to be written. */
   readonly onHead: () => void;
+  /**
+   * The answer is about to end. Returns when it may, or undefined if it may at once.
+   */
+  readonly onEnd: () => Promise<void> | undefined;
 }
 
 /** Answer of an `OrderedServer`. */
@@ -30,6 +34,17 @@
     this.#steps?.onTurn();
   }
 
+  override end(...values: readonly unknown[]): this {
+    const mayEnd = this.headersSent ? this.#steps?.onEnd() : undefined;
+    if (mayEnd === undefined) return super.end(...values as []);
+    const [bytes] = values;
+    if (bytes instanceof Uint8Array || typeof bytes === "string") {
+      this.write(bytes);
+    }
+    void mayEnd.then(() => super.end());
+    return this;
+  }
+
   override writeHead(status: number, ...rest: readonly unknown[]): this {
     if (!this.headersSent) this.#steps?.onHead();
     return super.writeHead(status, ...rest as [OutgoingHttpHeaders?]);
--- a/packages/core/src/http/ordered_server_test.ts
+++ b/packages/core/src/http/ordered_server_test.ts
@@ -265,3 +265,22 @@
   await waitUntil(() => listBodies(received.text).length === 3);
   t.same(listBodies(received.text), ["/1-100", `/2-${length}`, "/3-0"]);
 });
+
+// Guards against an answer that loses its end, because its connection is closed with
+// the unread body of a request behind it.
+test("an answer that ends its connection is whole with a body behind it", async (t) => {
+  const answer = "x".repeat(200_000);
+  const started = await start(t, async (request, response) => {
+    if (request.url !== "/1") return void response.end("behind");
+    await sleep(50);
+    response.shouldKeepAlive = false;
+    response.writeHead(200, { "Content-Length": answer.length });
+    response.end(answer);
+  });
+  const socket = await started.connect();
+  const received = collect(socket);
+  socket.write(writeRequest("/1"));
+  socket.write(writeRequest("/2", "y".repeat(1_048_576)));
+  await waitUntil(() => socket.destroyed || received.text.endsWith(answer));
+  t.ok(received.text.endsWith(answer));
+});
