Requests whose caller has left end at once while they wait

Found by the review: a body of length 0 whose caller had left during admission was waited for without end; a turn whose call was over already asked the stores; the content of a request was hashed for each caller that left.

--- a/packages/gateway/src/calls/run_turn.ts
+++ b/packages/gateway/src/calls/run_turn.ts
@@ -16,6 +16,7 @@
 import type { PermitPool } from "../quotas/permit_pool.ts";
 import type { SiteClient } from "../site/site_client.ts";
 import { findScope, scopeId } from "../workspaces/scoped_id.ts";
+import { describeAbort } from "./describe_abort.ts";
 import { EventRelay } from "./event_relay.ts";
 import type { OpenCall } from "./open_call.ts";
 import { failCall, relayAnswer } from "./run_plain_call.ts";
@@ -61,6 +62,8 @@
   call: OpenCall,
   parts: TurnDependencies,
 ): Promise<void> {
+  // Its caller may have left, or its time may have passed, before its turn came.
+  if (call.signal.aborted) return failCall(call, parts, describeAbort(call));
   const { keepsHistory } = call.parts.route;
   const room = keepsHistory
     ? parts.outputs.tryOpen(performance.now())
--- a/packages/gateway/src/http/read_body.ts
+++ b/packages/gateway/src/http/read_body.ts
@@ -95,6 +95,7 @@
     if (this.#length !== undefined) this.#collector.reserve(this.#length);
     const { withinMilliseconds, stallMilliseconds } = this.#limits;
     const request = this.#request;
+    if (request.destroyed) return this.#onLeft();
     request.on("data", this.#onData).on("end", this.#onEnd);
     request.on("error", this.#onLeft).on("close", this.#onLeft);
     if (this.#length === 0) return;
--- a/packages/gateway/src/quarantine/call_quarantine.ts
+++ b/packages/gateway/src/quarantine/call_quarantine.ts
@@ -141,8 +141,6 @@
     const { result, upstream, sentAt } = attempt;
     if (result.kind === "whole") return this.#recordAnswer(call, sentAt);
     if (result.kind !== "lost" || upstream.instance.leaving) return;
-    // An end may show when the call is over and its body is freed.
-    void call.fingerprint.content;
     if (isConnectionLoss(result.cause)) {
       const recorded = this.#recordLoss(call, { upstream, sentAt });
       const { connectMilliseconds } = this.#options;
@@ -167,6 +165,8 @@
   ): Promise<void> {
     const { connectMilliseconds, logger, metrics } = this.#options;
     const { upstream } = attempt;
+    // An end may show when the call is over and its body is freed.
+    void call.fingerprint.content;
     const endedAt = performance.now();
     const state = await upstream.check(connectMilliseconds);
     metrics.lostAttempts.inc({ upstream_state: state });
@@ -189,6 +189,7 @@
     call: FingerprintedCall,
     attempt: { readonly upstream: Upstream; readonly sentAt: number },
   ): void {
+    void call.fingerprint.content;
     const endedAt = performance.now();
     attempt.upstream.onEnd(() => {
       if (performance.now() - endedAt > LATE_END_MILLISECONDS) return;
