--- a/packages/bench/src/gateways/large_request_site.ts
+++ b/packages/bench/src/gateways/large_request_site.ts
@@ -14,6 +14,7 @@
   type TestSitePlan,
 } from "./start_test_site.ts";
 import { TEST_DOCUMENT } from "./test_document.ts";
+import type { Test } from "tap";
 
 export const CALLERS = 100;
 export const BODY = Buffer.alloc(4_000_000, "b");
@@ -155,3 +156,33 @@
   t.comment(`${Math.round(peak)} MB`);
   t.ok(running.site.gateways[0]?.process.isRunning);
 }
+
+/** Sends large bodies at once and checks the memory and the answers. */
+export async function checkLargeBodies(
+  t: Test,
+  path: string,
+  headers: Readonly<Record<string, string>>,
+): Promise<void> {
+  const running = await startSite(t);
+  let isOver = false;
+  const small = callSmall(running.url, () => isOver);
+  const calls = Array.from(
+    { length: CALLERS },
+    (_, number) =>
+      callAsTold(running.url, {
+        callId: `c-${number}`,
+        path,
+        body: BODY,
+        headers,
+      }),
+  );
+  const attempts = await Promise.all(calls);
+  isOver = true;
+  const smallAnswers = await small;
+  t.ok(smallAnswers.every(({ status }) => status === 200), "small ones");
+  checkAttempts(t, running, attempts);
+  const partial = running.upstreams.flatMap(({ runs }) => runs).filter((
+    { callId, body },
+  ) => callId.startsWith("c-") && body.length !== BODY.length);
+  t.equal(partial.length, 0, "bodies arrive whole");
+}
