Requests tell their precedence; the leader reports ages by priority

The logs could not tell the three hypotheses apart: which class a command or the age of a request belongs to, how many commands change nothing, and whether a gateway's event loop is full. Begins and ends of turns carry the priority of their program and whether it is past its finish (no decision reads it yet). The report of the leader names requests by priority and commands that the state refused; a gateway logs when its event loop is full.

--- a/packages/core/src/metrics/metrics.ts
+++ b/packages/core/src/metrics/metrics.ts
@@ -53,7 +53,8 @@
   readonly proposals: Counter<"kind">;
   readonly repeatedCommands: Counter<"kind">;
   readonly abandonedCommands: Counter<"kind">;
-  readonly requestAgeSeconds: Histogram<"kind">;
+  readonly unchangedCommands: Counter<"kind">;
+  readonly requestAgeSeconds: Histogram<"kind" | "priority">;
   readonly waitingTurns: Gauge<"service">;
   readonly openTurns: Gauge<"service">;
   readonly turnWaitSeconds: Histogram<"priority">;
@@ -190,10 +191,16 @@
       labelNames: ["kind"],
       registers,
     }),
+    unchangedCommands: new Counter({
+      name: "mallowlift_unchanged_commands_total",
+      help: "Commands that were committed and refused by the state, by kind",
+      labelNames: ["kind"],
+      registers,
+    }),
     requestAgeSeconds: new Histogram({
       name: "mallowlift_request_age_seconds",
       help: "Age of the requests for a command when the store reads them",
-      labelNames: ["kind"],
+      labelNames: ["kind", "priority"],
       buckets: LATENCY_BUCKETS,
       registers,
     }),
--- a/packages/core/src/types/site.ts
+++ b/packages/core/src/types/site.ts
@@ -202,6 +202,16 @@
   readonly knownTurns?: readonly string[];
   /** Missing if the gateway places the turn itself. */
   readonly demand?: PlacementDemand;
+  /** Missing in earlier releases. */
+  readonly precedence?: RequestPrecedence;
+}
+
+/** Which requests a busy leader starts first. */
+export interface RequestPrecedence {
+  /** Priority of the program; 0 is the most urgent. */
+  readonly priority: number;
+  /** True if the program should have finished before now. */
+  readonly isLate: boolean;
 }
 
 /** What the leader needs to place a turn on an upstream. */
@@ -274,6 +284,8 @@
   readonly charge?: QuotaCharge;
   /** Missing if the leader did not place the turn. */
   readonly report?: PlacementReport;
+  /** Missing in earlier releases. */
+  readonly precedence?: RequestPrecedence;
 }
 
 /** What a gateway observed of a turn that the leader placed. */
--- a/packages/gateway/src/calls/run_turn.ts
+++ b/packages/gateway/src/calls/run_turn.ts
@@ -21,6 +21,7 @@
 import type { OpenCall } from "./open_call.ts";
 import { failCall, relayAnswer } from "./run_plain_call.ts";
 import { sendCall } from "./send_call.ts";
+import { findPrecedence } from "./request_precedence.ts";
 import type { TurnCache } from "./turn_cache.ts";
 import { TurnObserver } from "./turn_observer.ts";
 import {
@@ -184,6 +185,7 @@
     {
       ...findTurnIds(call),
       ...(demand === undefined ? {} : { demand }),
+      precedence: findPrecedence(call, performance.now()),
       tokenBudget: facts.tokenBudget,
       mostTokens: facts.mostTokens,
       ...(quota === undefined ? {} : { quota: quota.bound }),
@@ -356,6 +358,7 @@
   | "tokens"
   | "retentionMilliseconds"
   | "report"
+  | "precedence"
 > {
   const { route, table, service } = call.parts;
   const { events, upstream = "", observer } = details;
@@ -364,6 +367,7 @@
   return {
     ...findTurnIds(call),
     ...(report === undefined ? {} : { report }),
+    precedence: findPrecedence(call, performance.now()),
     tokens: events * tokensPerEvent,
     retentionMilliseconds: route.retentionMilliseconds,
   };
--- a/packages/gateway/src/gateway_role.ts
+++ b/packages/gateway/src/gateway_role.ts
@@ -29,6 +29,7 @@
 import type { CallerDialect, OperatorDialect } from "./dialect.ts";
 import { CallerServer } from "./http/caller_server.ts";
 import { RequestBodies } from "./http/request_bodies.ts";
+import { LoadReport } from "./load_report.ts";
 import { ByteAccount } from "./memory/byte_account.ts";
 import { TurnOutputs } from "./memory/turn_outputs.ts";
 import {
@@ -92,6 +93,7 @@
   readonly #unread: UnreadAnswers<OpenCall>;
   readonly #quarantine: Quarantine;
   readonly #quarantineExchange: QuarantineExchange;
+  readonly #load: LoadReport;
   #wasReady = false;
   #cleanupTimer: NodeJS.Timeout | undefined;
   #gateways = { count: 1, at: -Infinity };
@@ -141,6 +143,7 @@
     this.#unread = this.#createUnreadAnswers();
     const quarantineLogger = logger.forPart("quarantine");
     this.#quarantine = createLoggedQuarantine(gateway, quarantineLogger);
+    this.#load = new LoadReport(logger.forPart("gateway"));
     this.#quarantineExchange = new QuarantineExchange({
       quarantine: this.#quarantine,
       directory,
@@ -341,6 +344,7 @@
   #cleanUp(): void {
     const now = performance.now();
     const { metrics } = this.#options;
+    this.#load.update(this.#callerServer.openCalls, now);
     this.#unread.sweep(now);
     this.#quarantine.removeExpired(now);
     void this.#quarantineExchange.sendMissed(now);
--- a/packages/gateway/src/http/caller_server.ts
+++ b/packages/gateway/src/http/caller_server.ts
@@ -135,6 +135,11 @@
     this.#applyLimits(INITIAL_LIMITS);
   }
 
+  /** Number of calls that were admitted and are not answered yet. */
+  get openCalls(): number {
+    return this.#openCalls.size;
+  }
+
   /**
    * Starts to serve, including connections that were accepted before; returns
    * the port.
--- a/packages/store/src/proposal_report.ts
+++ b/packages/store/src/proposal_report.ts
@@ -21,10 +21,28 @@
   readonly milliseconds: number;
   /** Number of requests that shared this command while it was in flight. */
   readonly requestCount: number;
+  /** True if the command was committed and has changed nothing. */
+  readonly isUnchanged: boolean;
   /** True if all callers had given up before the decision. */
   readonly isAbandoned: boolean;
 }
 
+/** A request as the report tells it apart. */
+export interface ReportedRequest {
+  readonly kind: string;
+  /** 0 is the most urgent. */
+  readonly priority: number;
+  /** True if its program should have finished before. */
+  readonly isLate: boolean;
+}
+
+/** Requests of one priority in a log interval. */
+interface PriorityReport {
+  requests: number;
+  late: number;
+  milliseconds: number;
+}
+
 /** Counts commands, and logs at most once a second if any was repeated or abandoned. */
 export class ProposalReport {
   readonly #logger: Logger;
@@ -39,6 +57,8 @@
   #requests = 0;
   #requestMilliseconds = 0;
   #abandonedEnds = 0;
+  #unchanged = 0;
+  readonly #priorities = new Map<number, PriorityReport>();
   #refused = 0;
   #refusedPrograms = 0;
   #oldestMilliseconds = 0;
@@ -53,12 +73,14 @@
 
   /** Counts one finished command. */
   record(command: FinishedCommand, now: number): void {
-    const { kind, requestCount, isAbandoned } = command;
+    const { kind, requestCount, isAbandoned, isUnchanged } = command;
     this.#metrics.proposals.inc({ kind });
     this.#metrics.repeatedCommands.inc({ kind }, requestCount - 1);
     if (isAbandoned) this.#metrics.abandonedCommands.inc({ kind });
     this.#decided++;
     this.#repeated += requestCount - 1;
+    if (isUnchanged) this.#metrics.unchangedCommands.inc({ kind });
+    if (isUnchanged) this.#unchanged++;
     if (isAbandoned) this.#abandoned++;
     if (isAbandoned && kind === "end") this.#abandonedEnds++;
     this.#decisionMilliseconds += command.milliseconds;
@@ -72,8 +94,18 @@
   }
 
   /** Records how old a request was when it was read, ms. */
-  recordAge(kind: string, milliseconds: number): void {
-    this.#metrics.requestAgeSeconds.observe({ kind }, milliseconds / 1_000);
+  recordAge(request: ReportedRequest, milliseconds: number): void {
+    const { kind, priority, isLate } = request;
+    this.#metrics.requestAgeSeconds.observe(
+      { kind, priority },
+      milliseconds / 1_000,
+    );
+    const report = this.#priorities.get(priority) ??
+      { requests: 0, late: 0, milliseconds: 0 };
+    this.#priorities.set(priority, report);
+    report.requests++;
+    if (isLate) report.late++;
+    report.milliseconds += milliseconds;
     this.#requests++;
     this.#requestMilliseconds += milliseconds;
     this.#oldestMilliseconds = Math.max(this.#oldestMilliseconds, milliseconds);
@@ -99,12 +131,14 @@
       repeated: this.#repeated,
       unheard: this.#abandoned,
       unheard_ends: this.#abandonedEnds,
+      unchanged: this.#unchanged,
       refused: this.#refused,
       refused_programs: this.#refusedPrograms,
       mean_request_ms: Math.round(
         this.#requestMilliseconds / Math.max(1, this.#requests),
       ),
       oldest_request_ms: Math.round(this.#oldestMilliseconds),
+      requests_by_priority: this.#describePriorities(),
       processor_ms: Math.round((user + system) / 1_000),
       event_loop_busy: Number(utilization.toFixed(2)),
       mean_ms: Math.round(this.#decisionMilliseconds / this.#decided),
@@ -120,6 +154,8 @@
     this.#requests = 0;
     this.#requestMilliseconds = 0;
     this.#abandonedEnds = 0;
+    this.#unchanged = 0;
+    this.#priorities.clear();
     this.#refused = 0;
     this.#refusedPrograms = 0;
     this.#oldestMilliseconds = 0;
@@ -133,6 +169,19 @@
     });
   }
 
+  /** Describes the requests that were read, such as "0: 120, 4 late, 35 ms". */
+  #describePriorities(): string {
+    const described: string[] = [];
+    for (const [priority, report] of this.#priorities) {
+      const { requests, late, milliseconds } = report;
+      const meanMilliseconds = Math.round(milliseconds / requests);
+      described.push(
+        `${priority}: ${requests}, ${late} late, ${meanMilliseconds} ms`,
+      );
+    }
+    return described.sort().join("; ");
+  }
+
   /** Returns the bytes sent to all daemons since the last call. */
   async #takeSentBytes(): Promise<number> {
     const { values } = await this.#metrics.peerBytes.get();
--- a/packages/store/src/proposal_report_test.ts
+++ b/packages/store/src/proposal_report_test.ts
@@ -23,22 +23,25 @@
   kind: "end",
   milliseconds: 20,
   requestCount: 1,
+  isUnchanged: false,
   isAbandoned: false,
 };
 
 test("requests that are old when they are read are reported, with the load of the process", async (t) => {
   const { report, lines } = startReport();
-  report.recordAge("begin", 12);
+  const request = { kind: "begin", priority: 0, isLate: false };
+  report.recordAge(request, 12);
   report.record(DECIDED, 1_000);
   await sleep(0);
   t.same(lines, [], "young requests are not");
-  report.recordAge("begin", 640);
+  report.recordAge(request, 640);
   report.record({ ...DECIDED, isAbandoned: true }, 2_000);
   await sleep(0);
   t.equal(lines.length, 1);
   const [line] = lines;
   t.match(line, { decided: 1, unheard: 1, unheard_ends: 1, refused: 0 });
   t.equal(line?.oldest_request_ms, 640);
+  t.equal(line?.requests_by_priority, "0: 1, 0 late, 640 ms");
   t.type(line?.processor_ms, "number");
   t.type(line?.event_loop_busy, "number");
   t.equal(line?.sent_kb, 0);
--- a/packages/store/src/requested_command.ts
+++ b/packages/store/src/requested_command.ts
@@ -1,7 +1,12 @@
 /** Identifies the commands that a leader proposes, and ranks them. */
 
 import { URGENCIES, type Urgency } from "@mallowlift/consensus";
-import type { BeginTurn, EndTurn, TakePermits } from "@mallowlift/core";
+import type {
+  BeginTurn,
+  EndTurn,
+  RequestPrecedence,
+  TakePermits,
+} from "@mallowlift/core";
 import type { SiteCommand, SiteState } from "@mallowlift/sessions";
 
 /** A command as a gateway requests it. */
@@ -54,6 +59,15 @@
   return isStarted ? URGENCIES.CONTINUE : URGENCIES.START;
 }
 
+/** Precedence of requests whose gateway or kind tells none. */
+const DEFAULT_PRECEDENCE: RequestPrecedence = { priority: 0, isLate: false };
+
+/** Returns the precedence of a command; the highest if it is not told. */
+export function findPrecedence(command: RequestedCommand): RequestPrecedence {
+  if (command.kind === "charge") return DEFAULT_PRECEDENCE;
+  return command.precedence ?? DEFAULT_PRECEDENCE;
+}
+
 /**
  * Returns the order of a request in the queue of the leader: ends of turns first, then
  * by priority, of which 0 is the most urgent, and in each started programs before new
--- a/packages/store/src/site_owner.ts
+++ b/packages/store/src/site_owner.ts
@@ -44,6 +44,7 @@
 import type { RequestContext } from "./request_context.ts";
 import {
   createDeduplicationKey,
+  findPrecedence,
   findQueueOrder,
   findUrgency,
   type RequestedCommand,
@@ -148,7 +149,13 @@
     const { signal } = caller;
     // The turns that the gateway already has and what its placement needs only
     // affect the reply, so they are not replicated.
-    const { missingFrom, knownTurns, demand: _demand, ...reserve } = request;
+    const {
+      missingFrom,
+      knownTurns,
+      demand: _demand,
+      precedence: _precedence,
+      ...reserve
+    } = request;
     const at = this.#getSiteTime();
     if (!this.#isLeading) return this.#refuseNotLeading();
     const entered = this.#turns.enter(request, caller, at);
@@ -180,7 +187,7 @@
     signal: AbortSignal,
   ): Promise<Outcome<EndTurnReply>> {
     this.#latestUpstreams.record(request.programId, request.upstream);
-    const { report, ...settlement } = request;
+    const { report, precedence: _precedence, ...settlement } = request;
     this.#turns.end(
       request.turnId,
       report && { upstream: request.upstream, ...report },
@@ -254,7 +261,10 @@
   ): ReturnType<typeof fail> | undefined {
     const now = performance.now();
     const { ageMilliseconds, deadlineAt } = caller;
-    this.#report.recordAge(command.kind, ageMilliseconds);
+    this.#report.recordAge(
+      { kind: command.kind, ...findPrecedence(command) },
+      ageMilliseconds,
+    );
     const group = this.#options.getGroup();
     const isShared = this.#sharedCommands.has(createDeduplicationKey(command));
     if (group === undefined || !group.isLeading || isShared) return undefined;
@@ -347,8 +357,10 @@
           const now = performance.now();
           const milliseconds = now - startedAt;
           this.#admission.recordCommit(milliseconds, now);
+          const isUnchanged = outcome.ok &&
+            (outcome.val.result as SiteResult).code !== "OK";
           this.#report.record(
-            { kind: command.kind, milliseconds, ...end },
+            { kind: command.kind, milliseconds, isUnchanged, ...end },
             now,
           );
         },
