Urgent programs go before lesser ones on their whole way through the leader

Callers saw urgent programs end late while lesser ones were served. Cause: ends of all classes went before begins of the urgent one, and priority was known only for turns that the leader places; one limit on new programs followed the mean delay of all classes; and an iteration of the event loop started sixteen requests however long it took, so that each command of an urgent program waited for several iterations of lesser work.

Each priority has a limit of its own, by its delay and that of the more urgent ones.

--- a/packages/store/src/program_admission.ts
+++ b/packages/store/src/program_admission.ts
@@ -73,6 +73,21 @@
   readonly ageMilliseconds: number;
   /** Expected time until the command commits, ms. */
   readonly expectedMilliseconds: number;
+  /** Priority of its program, 0 by default. */
+  readonly priority?: number;
+  /** True if its program can no longer end in time, and so waits behind others. */
+  readonly isLate?: boolean;
+}
+
+/** Commands of one priority in an interval. */
+interface PriorityDelay {
+  count: number;
+  milliseconds: number;
+}
+
+/** Creates a record of the fastest commit of a leader. */
+export function createFastestCommit(): RecentMinimum {
+  return new RecentMinimum(FASTEST_COMMIT_MILLISECONDS);
 }
 
 /**
@@ -87,10 +102,11 @@
  */
 export class ProgramAdmission {
   readonly #order = new StartOrder();
-  readonly #fastestCommit = new RecentMinimum(FASTEST_COMMIT_MILLISECONDS);
+  readonly #fastestCommit: RecentMinimum;
   #intervalStart = -Infinity;
   #commands = 0;
-  #delaySum = 0;
+  /** By priority. A mean of all would hide the delay of the one that waits. */
+  readonly #delays = new Map<number, PriorityDelay>();
   #admitted = 0;
   #refused = 0;
   /** Average rate of commands, per ms. */
@@ -111,6 +127,11 @@
   /** Part of the programs of the last interval that were refused. */
   #refusedPart = 0;
 
+  /** @param fastestCommit can be shared by several admissions of one leader */
+  constructor(fastestCommit: RecentMinimum = createFastestCommit()) {
+    this.#fastestCommit = fastestCommit;
+  }
+
   /** True while new programs are limited. */
   get isLimiting(): boolean {
     return this.#limit !== Infinity;
@@ -119,10 +140,14 @@
   /** Records a command whose request has been read. */
   recordCommand(command: CommandDelay, now: number): void {
     this.#adapt(now);
-    const { ageMilliseconds, expectedMilliseconds } = command;
+    const { ageMilliseconds, expectedMilliseconds, priority = 0 } = command;
     this.#commands++;
+    if (command.isLate === true) return;
     const fastestMilliseconds = this.#fastestCommit.value;
-    this.#delaySum += ageMilliseconds +
+    const delay = this.#delays.get(priority) ?? { count: 0, milliseconds: 0 };
+    this.#delays.set(priority, delay);
+    delay.count++;
+    delay.milliseconds += ageMilliseconds +
       Math.max(0, expectedMilliseconds - fastestMilliseconds);
   }
 
@@ -176,7 +201,7 @@
     this.#refusedPart = tried === 0 ? 0 : this.#refused / tried;
     this.#intervalStart = now;
     this.#commands = 0;
-    this.#delaySum = 0;
+    this.#delays.clear();
     this.#admitted = 0;
     this.#refused = 0;
   }
@@ -184,7 +209,7 @@
   /** Returns the delay beyond the target, in parts of the range. */
   #findExcess(): number {
     if (this.#commands < MIN_COMMANDS) return -1 / DELAY_RANGE;
-    const delay = this.#delaySum / this.#commands;
+    const delay = this.#findDelay();
     const target = Math.max(
       MIN_TARGET_MILLISECONDS,
       TARGET_COMMANDS / this.#commandRate,
@@ -192,6 +217,21 @@
     return Math.min(1, (delay - target) / (DELAY_RANGE * target));
   }
 
+  /** Returns the mean delay of all commands or of a priority, whichever is longest, ms. */
+  #findDelay(): number {
+    let longest = 0;
+    let totalCount = 0;
+    let totalMilliseconds = 0;
+    for (const { count, milliseconds } of this.#delays.values()) {
+      totalCount += count;
+      totalMilliseconds += milliseconds;
+      if (count < MIN_COMMANDS) continue;
+      longest = Math.max(longest, milliseconds / count);
+    }
+    if (totalCount === 0) return 0;
+    return Math.max(longest, totalMilliseconds / totalCount);
+  }
+
   #countIntervals(isDelayed: boolean): void {
     this.#delayedIntervals = isDelayed ? this.#delayedIntervals + 1 : 0;
     const isCalm = !isDelayed && this.#refused === 0;
--- a/packages/store/src/request_admission.ts
+++ b/packages/store/src/request_admission.ts
@@ -1,7 +1,11 @@
 /** Decides which requests a leader proposes, by the time that their callers have left. */
 
 import { URGENCIES, type Urgency } from "@mallowlift/consensus";
-import { type CommandDelay, ProgramAdmission } from "./program_admission.ts";
+import {
+  type CommandDelay,
+  createFastestCommit,
+  ProgramAdmission,
+} from "./program_admission.ts";
 import type { NewProgram } from "./start_order.ts";
 
 /** Reasons for which a request is not proposed; the values are metric labels. */
@@ -38,28 +42,55 @@
  * ```
  */
 export class RequestAdmission {
-  readonly #programs = new ProgramAdmission();
+  readonly #fastestCommit = createFastestCommit();
+  /**
+   * By priority. More urgent requests are read first, so a priority is limited by its
+   * own delay and by that of the more urgent ones.
+   */
+  readonly #programs = new Map<number, ProgramAdmission>();
 
   /** Returns why a request is not proposed; undefined if it is. */
   findRefusal(request: ReadRequest, now: number): RequestRefusal | undefined {
     const { urgency, deadlineAt, expectedMilliseconds, program } = request;
-    this.#programs.recordCommand(request, now);
+    const programs = this.#recordCommand(request, now);
     if (now >= deadlineAt) return REQUEST_REFUSALS.EXPIRED;
     // What ends a turn is worth its commit also if that is expected to come late.
     if (urgency === URGENCIES.FINISH) return undefined;
     if (now + expectedMilliseconds >= deadlineAt) return REQUEST_REFUSALS.LATE;
     const isLimited = urgency === URGENCIES.START &&
-      !this.#programs.tryAdmit(now, program);
+      !programs.tryAdmit(now, program);
     return isLimited ? REQUEST_REFUSALS.LIMITED : undefined;
   }
 
   /** Records how long a command took to commit, ms. */
   recordCommit(milliseconds: number, now: number): void {
-    this.#programs.recordCommit(milliseconds, now);
+    this.#fastestCommit.record(milliseconds, now);
   }
 
-  /** Returns the time after which a program that was limited should start again, ms. */
-  findProgramRetryAfter(): number {
-    return this.#programs.findRetryAfter();
+  /**
+   * Returns the time after which a program that was limited should start again, ms.
+   *
+   * @param priority that of the program, 0 by default
+   */
+  findProgramRetryAfter(priority = 0): number {
+    return this.#findPrograms(priority).findRetryAfter();
+  }
+
+  /** Records a command; returns the admission of its priority. */
+  #recordCommand(command: CommandDelay, now: number): ProgramAdmission {
+    const { priority = 0 } = command;
+    const own = this.#findPrograms(priority);
+    for (const [other, programs] of this.#programs) {
+      if (other >= priority) programs.recordCommand(command, now);
+    }
+    return own;
+  }
+
+  #findPrograms(priority: number): ProgramAdmission {
+    const known = this.#programs.get(priority);
+    if (known !== undefined) return known;
+    const programs = new ProgramAdmission(this.#fastestCommit);
+    this.#programs.set(priority, programs);
+    return programs;
   }
 }
--- a/packages/store/src/site_owner.ts
+++ b/packages/store/src/site_owner.ts
@@ -261,8 +261,9 @@
   ): ReturnType<typeof fail> | undefined {
     const now = performance.now();
     const { ageMilliseconds, deadlineAt } = caller;
+    const precedence = findPrecedence(command);
     this.#report.recordAge(
-      { kind: command.kind, ...findPrecedence(command) },
+      { kind: command.kind, ...precedence },
       ageMilliseconds,
     );
     const group = this.#options.getGroup();
@@ -277,12 +278,13 @@
       ageMilliseconds,
       expectedMilliseconds,
       deadlineAt,
+      ...precedence,
       ...describeProgram(command),
     }, now);
     if (refusal === undefined) return undefined;
     if (refusal === REQUEST_REFUSALS.EXPIRED) return this.#refuseExpired();
     const retryMilliseconds = refusal === REQUEST_REFUSALS.LIMITED
-      ? this.#admission.findProgramRetryAfter()
+      ? this.#admission.findProgramRetryAfter(precedence.priority)
       : load.retryAfterMilliseconds;
     return this.#refuseForLoad(retryMilliseconds, refusal);
   }
@@ -408,11 +410,11 @@
 function describeProgram(
   command: RequestedCommand,
 ): Pick<ReadRequest, "program"> {
-  if (command.kind !== "begin" || command.demand === undefined) return {};
-  const { demand, quota } = command;
+  if (command.kind !== "begin" || command.precedence === undefined) return {};
+  const { precedence, quota } = command;
   return {
     program: {
-      priority: demand.priority,
+      priority: precedence.priority,
       workspace: quota?.workspace ?? "",
       weight: quota?.most ?? 1,
     },
--- a/packages/transport/src/request_queue.ts
+++ b/packages/transport/src/request_queue.ts
@@ -8,13 +8,10 @@
  * commits less the more it is asked.
  */
 
+import { performance } from "node:perf_hooks";
 import { setImmediate as yieldToEventLoop } from "node:timers/promises";
+import { RequestBatch } from "./request_batch.ts";
 
-/**
- * Requests that are started in one iteration of the event loop. They start together,
- * so that their entries are sent in one message.
- */
-const MAX_REQUESTS_PER_ITERATION = 16;
 /**
  * Requests that are taken from the queue in one iteration. Most of those that are
  * refused cost little, and none should wait behind them.
@@ -50,6 +47,7 @@
 export class RequestQueue {
   /** By order; only those that have requests. */
   readonly #waiting = new Map<number, WaitingRequest[]>();
+  readonly #batch = new RequestBatch();
   #length = 0;
   #sequence = 0;
   /** Number of requests that were started in this iteration of the event loop. */
@@ -99,8 +97,10 @@
     do {
       this.#started = 0;
       this.#taken = 0;
+      const startedAt = performance.now();
       this.#startSome();
       await yieldToEventLoop();
+      this.#batch.recordIteration(performance.now() - startedAt);
     } while (this.length > 0);
     this.#isDraining = false;
   }
@@ -108,7 +108,7 @@
   /** Takes requests from the queue up to the bounds of this iteration. */
   #startSome(): void {
     while (
-      this.#started < MAX_REQUESTS_PER_ITERATION &&
+      this.#started < this.#batch.size &&
       this.#taken < MAX_TAKEN_PER_ITERATION
     ) {
       const request = this.#takeNext();
