A turn of a program whose budget is spent is refused without a command

Tokens of settled turns only grow, so a leader that has applied enough of them may refuse at once; what is only reserved still goes through the log. The test counts the proposals of 20 such turns: 20 before, none now.

--- a/packages/bench/src/gateways/gateway_turns_test.ts
+++ b/packages/bench/src/gateways/gateway_turns_test.ts
@@ -2,6 +2,7 @@
 import { describeOutput } from "@mallowlift/mocks";
 import { test } from "tap";
 import { startTestSite } from "./start_test_site.ts";
+import { sumStoreCounter } from "./store_metrics.ts";
 import {
   callTurn,
   callTurnUntilServed,
@@ -41,6 +42,25 @@
   t.equal(other.status, 200);
 });
 
+// Guards against a leader that is busy with the turns of programs that go on for long
+// after their budget is spent.
+test("a turn of a program whose budget is spent is refused without a command", async (t) => {
+  const running = await startTestSite(t, { gateways: 2 });
+  const budget = 6;
+  t.equal((await callTurn(running, { id: "a", budget })).status, 200);
+  await sleep(200);
+  const count = () => sumStoreCounter(running, "mallowlift_proposals_total");
+  const before = await count();
+  for (let turn = 0; turn < 20; turn++) {
+    const id = `turn ${turn}`;
+    const refused = await callTurn(running, { id, budget, gateway: turn % 2 });
+    t.equal(refused.status, 402);
+  }
+  t.equal(await count(), before);
+  const more = await callTurn(running, { id: "b", budget: budget + 1 });
+  t.equal(more.status, 200, "a larger budget counts");
+});
+
 test("a truncated stream does not look complete, is not stored, and its sent tokens count", async (t) => {
   const running = await startTestSite(t, { upstreams: 2 });
   for (const upstream of running.upstreams) upstream.faults.closesAfter = 2;
--- a/packages/sessions/src/budgets.ts
+++ b/packages/sessions/src/budgets.ts
@@ -91,6 +91,15 @@
     return this.#programs.get(programId)?.settled.has(turnId) === true;
   }
 
+  /**
+   * True if the settled turns of a program have used up a budget, so that each further
+   * turn will be refused. Reserved tokens can still come free.
+   */
+  isSpent(programId: string, tokenBudget: number): boolean {
+    const spent = this.#programs.get(programId)?.spent ?? 0;
+    return tokenBudget >= 0 && spent > 0 && spent >= tokenBudget;
+  }
+
   /** Returns the usage of a program; all zero if the program is unknown. */
   describe(programId: string): BudgetUse {
     const program = this.#programs.get(programId);
--- a/packages/store/src/site_owner.ts
+++ b/packages/store/src/site_owner.ts
@@ -270,6 +270,7 @@
     const isShared = this.#sharedCommands.has(createDeduplicationKey(command));
     if (group === undefined || !group.isLeading || isShared) return undefined;
     if (this.#isNeedlessSettlement(command)) return undefined;
+    if (this.#hasSpentBudget(command)) return this.#refuseSpent(command);
     const urgency = findUrgency(command, this.#options.state);
     const load = group.findProposalLoad(urgency, now);
     const { expectedMilliseconds } = load;
@@ -313,6 +314,26 @@
       !this.#options.state.budgets.hasReserved(programId, turnId);
   }
 
+  /** True for a begin that each leader would refuse, whatever is committed before it. */
+  #hasSpentBudget(
+    command: RequestedCommand,
+  ): command is RequestedCommand & { readonly kind: "begin" } {
+    if (command.kind !== "begin" || command.programId === "") return false;
+    const { budgets, turns } = this.#options.state;
+    const { programId, turnId, previousId, tokenBudget } = command;
+    const isKnown = previousId === "" || turns.has(previousId);
+    return isKnown && budgets.isSpent(programId, tokenBudget) &&
+      !budgets.hasReserved(programId, turnId);
+  }
+
+  /** Refuses a turn without a command: programs without a budget often go on for long. */
+  #refuseSpent(request: BeginTurn): ReturnType<typeof fail> {
+    const code = RESULT_CODES.BUDGET_EXCEEDED;
+    countRefusal(this.#options.metrics, "owner", code);
+    this.#logRefusedTurn(request, code);
+    return fail(code, code.meaning);
+  }
+
   #refuseExpired(): ReturnType<typeof fail> {
     countRefusal(this.#options.metrics, "owner", RESULT_CODES.TIMEOUT);
     this.#report.recordRefusal(REQUEST_REFUSALS.EXPIRED);
