A begin that would wait for longer than its caller is refused at once

The oldest request of the same order tells how long a new one will wait; a begin whose caller waits for less is refused when it is read, with that wait. Ends are done in any case, and repetitions join a command in flight.

--- a/packages/store/src/site_owner.ts
+++ b/packages/store/src/site_owner.ts
@@ -290,6 +290,30 @@
     return this.#refuseForLoad(retryMilliseconds, refusal);
   }
 
+  /**
+   * Refuses a begin that would wait in the queue for longer than its caller does;
+   * returns undefined for all others. What ends a turn is done in any case.
+   */
+  refuseHopeless(
+    command: RequestedCommand,
+    times: {
+      /** Time for which the caller still waits, ms. */
+      readonly leftMilliseconds: number;
+      /** Expected wait in the queue, ms. */
+      readonly waitMilliseconds: number;
+    },
+  ): ReturnType<typeof fail> | undefined {
+    const { leftMilliseconds, waitMilliseconds } = times;
+    const isInTime = waitMilliseconds === 0 ||
+      waitMilliseconds < leftMilliseconds;
+    if (command.kind === "end" || isInTime) return undefined;
+    // A command in flight is joined by its repetition without a wait.
+    if (this.#sharedCommands.has(createDeduplicationKey(command))) {
+      return undefined;
+    }
+    return this.#refuseForLoad(Math.round(waitMilliseconds));
+  }
+
   /** Returns the order in which a waiting request is started. */
   findQueueOrder(command: RequestedCommand): number {
     return findQueueOrder(command, this.#options.state);
--- a/packages/store/src/store_app.ts
+++ b/packages/store/src/store_app.ts
@@ -52,7 +52,10 @@
   };
 }
 
-/** Refuses or handles a request when its turn comes; its wait until then adds to its age. */
+/**
+ * Refuses or handles a request when its turn comes; its wait until then adds to its age.
+ * A request whose caller is known to leave before is refused at once.
+ */
 function runInTurn<T>(
   command: RequestedCommand,
   context: RequestContext,
@@ -64,12 +67,20 @@
 ): Promise<Outcome<T>> {
   const { queue, owner, handle } = parts;
   const { signal, deadlineAt } = context;
-  const sentAt = performance.now() - context.ageMilliseconds;
+  const now = performance.now();
+  const sentAt = now - context.ageMilliseconds;
+  const order = owner.findQueueOrder(command);
+  const waitMilliseconds = queue.findWait(order, now);
+  const hopeless = owner.refuseHopeless(command, {
+    leftMilliseconds: deadlineAt - now,
+    waitMilliseconds,
+  });
+  if (hopeless !== undefined) return Promise.resolve(hopeless);
   const refuse = () =>
     owner.refuse(command, {
       signal,
       deadlineAt,
       ageMilliseconds: performance.now() - sentAt,
     });
-  return queue.run(handle, refuse, { order: owner.findQueueOrder(command) });
+  return queue.run(handle, refuse, { order });
 }
--- a/packages/transport/src/request_queue.ts
+++ b/packages/transport/src/request_queue.ts
@@ -24,6 +24,8 @@
 interface WaitingRequest {
   /** Number of the request in order of arrival. */
   readonly sequence: number;
+  /** When it was added, ms. */
+  readonly addedAt: number;
   /** Starts or refuses the request; returns false if it was refused. */
   readonly start: () => boolean;
 }
@@ -62,6 +64,15 @@
     return this.#length;
   }
 
+  /**
+   * Returns how long the oldest request of an order has waited, ms; 0 if there is none.
+   * A new one of this order is expected to wait at least as long.
+   */
+  findWait(order: number, now: number): number {
+    const oldest = this.#waiting.get(order)?.[0];
+    return oldest === undefined ? 0 : now - oldest.addedAt;
+  }
+
   /**
    * Refuses or starts the work now or when its turn comes, and returns its result.
    *
@@ -87,7 +98,8 @@
   #add(order: number, start: () => boolean): void {
     const requests = this.#waiting.get(order) ?? [];
     this.#waiting.set(order, requests);
-    requests.push({ sequence: this.#sequence++, start });
+    const addedAt = performance.now();
+    requests.push({ sequence: this.#sequence++, addedAt, start });
     this.#length++;
   }
 
--- a/packages/transport/src/request_queue_test.ts
+++ b/packages/transport/src/request_queue_test.ts
@@ -1,3 +1,4 @@
+import { performance } from "node:perf_hooks";
 import { setImmediate as yieldToEventLoop } from "node:timers/promises";
 import { test } from "tap";
 import { RequestQueue } from "./request_queue.ts";
@@ -102,6 +103,19 @@
   }
 });
 
+test("the wait of an order is that of its oldest request", async (t) => {
+  const queue = new RequestQueue();
+  const addedAt = performance.now();
+  const add = (order: number) =>
+    queue.run(() => Promise.resolve(), undefined, { order });
+  const results = Array.from({ length: 2 * MOST }, () => add(1));
+  t.equal(queue.findWait(0, addedAt + 300), 0, "none of this order waits");
+  const wait = queue.findWait(1, addedAt + 300);
+  t.ok(wait > 0 && wait <= 300, `${wait} ms`);
+  await Promise.all(results);
+  t.equal(queue.findWait(1, addedAt + 300), 0);
+});
+
 test("a request starts in the end while more urgent ones keep arriving", async (t) => {
   const queue = new RequestQueue();
   const add = (order: number) =>
