--- a/packages/scheduling/src/mod.ts
+++ b/packages/scheduling/src/mod.ts
@@ -3,6 +3,9 @@
  * and the placement and order of turns at the leader of a site.
  */
 
+export * from "./admission/fair_shares.ts";
+export * from "./admission/program_admission.ts";
+export * from "./admission/start_order.ts";
 export * from "./create_policies.ts";
 export * from "./expected_finish.ts";
 export * from "./least_loaded.ts";
--- a/packages/store/src/request_admission.ts
+++ b/packages/store/src/request_admission.ts
@@ -4,9 +4,9 @@
 import {
   type CommandDelay,
   createFastestCommit,
+  type NewProgram,
   ProgramAdmission,
-} from "./program_admission.ts";
-import type { NewProgram } from "./start_order.ts";
+} from "@mallowlift/scheduling";
 
 /** Reasons for which a request is not proposed; the values are metric labels. */
 export const REQUEST_REFUSALS = {
--- a/packages/store/src/site_owner.ts
+++ b/packages/store/src/site_owner.ts
@@ -26,11 +26,11 @@
   type TakePermitsReply,
   WakeSignal,
 } from "@mallowlift/core";
+import { FairShares } from "@mallowlift/scheduling";
 import type { SiteCommand, SiteResult, SiteState } from "@mallowlift/sessions";
 import { Ok } from "ts-results";
 import type { InstanceReader } from "./instance_reader.ts";
 import { DocumentOwner } from "./document_owner.ts";
-import { FairShares } from "./fair_shares.ts";
 import { FollowOwner } from "./follow_owner.ts";
 import { LatestUpstreams } from "./latest_upstreams.ts";
 import { ProposalReport } from "./proposal_report.ts";
