--- a/packages/bench/src/cost/bench_cost.ts
+++ b/packages/bench/src/cost/bench_cost.ts
@@ -3,13 +3,14 @@
  * of gateways and stores use to start, while idle, and to serve turns.
  */
 
-import { mkdirSync, readFileSync, rmSync } from "node:fs";
+import { mkdirSync, rmSync } from "node:fs";
 import { join, resolve } from "node:path";
 import process from "node:process";
 import { createNumberParser } from "@mallowlift/cli";
 import { hashText, sleep, type Workspace } from "@mallowlift/core";
 import { OpaqueUpstream } from "@mallowlift/mocks";
 import { Command } from "commander";
+import { readOptionsWithoutHeap } from "../gateways/deployed_options.ts";
 import { GatewaySite } from "../gateways/gateway_site.ts";
 import { TEST_DOCUMENT } from "../gateways/test_document.ts";
 import { recordResults } from "../measure/record_results.ts";
@@ -29,18 +30,6 @@
   readonly nodeOptions: string;
 }
 
-/** The V8 options of the deployed daemons, except the limit of the heap. */
-const DEPLOYED_OPTION =
-  /--(?!max-old-space-size)[a-z-]+(?:=\d+)?(?= .*target\/)/g;
-
-/** Returns the options of Node.js with which gateways are deployed. */
-function readDeployedOptions(): string {
-  const deploy = readFileSync(resolve("deploy", "system.toml"), "utf8");
-  const run = deploy.split("\n").find((line) => line.startsWith("run = ")) ??
-    "";
-  return (run.match(DEPLOYED_OPTION) ?? []).join(" ");
-}
-
 const KEY = "cost-key";
 /** A workspace with a quota that is counted but never reached. */
 const WORKSPACE: Workspace = {
@@ -78,7 +67,7 @@
     .option(
       "--node-options <text>",
       "options of Node.js for all daemons",
-      readDeployedOptions(),
+      readOptionsWithoutHeap("gateway").join(" "),
     )
     .parse()
     .opts<CostOptions>();
--- a/packages/bench/src/gateway_soak/gateway_lives.ts
+++ b/packages/bench/src/gateway_soak/gateway_lives.ts
@@ -2,6 +2,7 @@
 
 import { readFileSync } from "node:fs";
 import { loadSettings } from "@mallowlift/core";
+import { readOptionsWithoutHeap } from "../gateways/deployed_options.ts";
 import type { GatewaySite, SiteDaemon } from "../gateways/gateway_site.ts";
 
 const BYTES_PER_MEGABYTE = 1_048_576;
@@ -17,9 +18,7 @@
 /** Options of Node.js with which a deployment starts its gateways. */
 export const DEPLOYED_NODE_OPTIONS: readonly string[] = [
   `--max-old-space-size=${HEAP_MEGABYTES}`,
-  "--max-semi-space-size=1",
-  "--optimize-for-size",
-  "--single-threaded-gc",
+  ...readOptionsWithoutHeap("gateway"),
 ];
 
 /** One process of a gateway, from its start to its end. */
--- a/packages/bench/src/gateways/endless_answers_test.ts
+++ b/packages/bench/src/gateways/endless_answers_test.ts
@@ -2,6 +2,7 @@
 import { sleep } from "@mallowlift/core";
 import { ENDLESS_KINDS, RUN_STEP } from "@mallowlift/mocks";
 import { test } from "tap";
+import { readDeployedOptions } from "./deployed_options.ts";
 import { callGateway } from "./gateway_caller.ts";
 import { startUnrulySite } from "./unruly_site.ts";
 
@@ -23,12 +24,7 @@
 test("an answer without end ends its connection, not the gateway", async (t) => {
   const { site, script, upstreams, url } = await startUnrulySite(t, {
     upstreams: 2,
-    nodeOptions: [
-      "--max-old-space-size=110",
-      "--max-semi-space-size=1",
-      "--optimize-for-size",
-      "--single-threaded-gc",
-    ],
+    nodeOptions: readDeployedOptions("gateway"),
     gatewaySettings: { max_answer_bytes: 4_194_304 },
   });
   const gateway = site.gateways[0]?.process;
--- a/packages/bench/src/gateways/large_request_site.ts
+++ b/packages/bench/src/gateways/large_request_site.ts
@@ -3,6 +3,7 @@
 import { Buffer } from "node:buffer";
 import { readFileSync } from "node:fs";
 import { type RoutingDocument, sleep } from "@mallowlift/core";
+import { readDeployedOptions } from "./deployed_options.ts";
 import {
   callGateway,
   type CallRequest,
@@ -25,12 +26,7 @@
 /** Attempts of a caller that comes back as told: more than it needs. */
 export const MAX_ATTEMPTS = 40;
 export const SMALL_INTERVAL_MILLISECONDS = 100;
-export const NODE_OPTIONS = [
-  "--max-old-space-size=110",
-  "--max-semi-space-size=1",
-  "--optimize-for-size",
-  "--single-threaded-gc",
-];
+export const NODE_OPTIONS = readDeployedOptions("gateway");
 export const DOCUMENT: RoutingDocument = {
   ...TEST_DOCUMENT,
   limits: { ...TEST_DOCUMENT.limits, maxBodyBytes: 4_194_304 },
