Gateways start urgent calls first and limit new programs while they are full

What a gateway reads, it served in order of arrival, and nothing there refused a program.

Calls are started by the precedence of their program, tool calls by that of the program that waits for them. While the event loop is full for half a second, new programs are limited by their cost in turns, lesser ones first. A limit may now start from the rate of the burst itself, not from an average that lags behind it.

--- a/packages/bench/src/gateways/gateway_site.ts
+++ b/packages/bench/src/gateways/gateway_site.ts
@@ -50,6 +50,8 @@
   readonly maxFrameBytes?: number;
   /** Path of a module that stores load before their own code. */
   readonly preloadedByStores?: string;
+  /** Path of a module that gateways load before their own code. */
+  readonly preloadedByGateways?: string;
   /** Options of Node.js for all daemons. */
   readonly nodeOptions?: readonly string[] | undefined;
   /** Additional keys of the gateways' settings. */
@@ -200,7 +202,9 @@
       const ports = await findFreePorts(4);
       const daemon = createDaemon(folder, name, {
         ports,
-        preload: isGateway ? undefined : this.#plan.preloadedByStores,
+        preload: isGateway
+          ? this.#plan.preloadedByGateways
+          : this.#plan.preloadedByStores,
         nodeOptions: this.#plan.nodeOptions ?? [],
       });
       (isGateway ? this.gateways : this.stores).push(daemon);
--- a/packages/bench/src/gateways/start_test_site.ts
+++ b/packages/bench/src/gateways/start_test_site.ts
@@ -24,6 +24,8 @@
   readonly nodeOptions?: readonly string[];
   /** Path of a module that stores load before their own code. */
   readonly preloadedByStores?: string;
+  /** Path of a module that gateways load before their own code. */
+  readonly preloadedByGateways?: string;
   /** Additional keys of the gateways' settings. */
   readonly gatewaySettings?: Readonly<Record<string, string | number>>;
   /** Time that a daemon has to stop, ms; 20,000 by default. */
@@ -59,8 +61,13 @@
 ): Promise<TestSite> {
   const { gateways = 1, stores = 3, waitMilliseconds, proxied } = plan;
   const { maxFrameBytes, gatewaySettings, document = TEST_DOCUMENT } = plan;
-  const { preloadedByStores, stopMilliseconds, gatewayRoles, nodeOptions } =
-    plan;
+  const {
+    preloadedByStores,
+    preloadedByGateways,
+    stopMilliseconds,
+    gatewayRoles,
+    nodeOptions,
+  } = plan;
   const upstreams = Array.from(
     { length: plan.upstreams ?? 1 },
     (_, index) => new OpaqueUpstream(`u-${index + 1}`),
@@ -85,6 +92,7 @@
       maxFrameBytes,
       gatewaySettings,
       preloadedByStores,
+      preloadedByGateways,
       nodeOptions,
       stopMilliseconds,
       gatewayRoles,
--- a/packages/bench/src/gateways/urgent_class_test.ts
+++ b/packages/bench/src/gateways/urgent_class_test.ts
@@ -1,17 +1,21 @@
 /**
- * Guards against a leader without processor to spare that works on a lesser class, of
- * long programs, while the programs of the urgent class end late.
+ * Guards against a leader or a gateway without processor to spare that works on a lesser
+ * class, of long programs, while the programs of the urgent class end late.
  */
 
 import { setTimeout as sleep } from "node:timers/promises";
 import { type Test, test } from "tap";
-import { LEADER_COMMANDS_PER_SECOND } from "./counted_work.ts";
+import {
+  GATEWAY_TURNS_PER_SECOND,
+  LEADER_COMMANDS_PER_SECOND,
+} from "./counted_work.ts";
+import type { GatewaySite, SiteDaemon } from "./gateway_site.ts";
 import {
   ProgramCallers,
   type ProgramKind,
   type ProgramOutcome,
 } from "./program_callers.ts";
-import { startTestSite } from "./start_test_site.ts";
+import { startTestSite, type TestSitePlan } from "./start_test_site.ts";
 import { sumStoreCounter } from "./store_metrics.ts";
 import { TEST_DOCUMENT } from "./test_document.ts";
 
@@ -30,12 +34,12 @@
   aimMilliseconds: 9_000,
 };
 /**
- * Commands of each class in the burst, as parts of what the leader can carry: together
- * twice as many.
+ * Turns of each class in the burst, as parts of what the site can carry: together twice
+ * as many.
  */
 const BURST = { urgent: 0.4, lesser: 1.6 };
 const BURST_MILLISECONDS = 10_000;
-/** Commands after the burst. */
+/** Turns after the burst. */
 const LATER = { urgent: 0.4, lesser: 0.2 };
 /** Time after the burst from which programs are served in time again, ms. */
 const RECOVERY_MILLISECONDS = 5_000;
@@ -59,28 +63,46 @@
   return { ...route, name, pathPrefix: `/${name}-stream/`, priority };
 }
 
-/** Returns the programs a second whose commands are a part of what the leader carries. */
-function findRate({ turns }: ProgramKind, part: number): number {
-  return part * LEADER_COMMANDS_PER_SECOND / (TURN_COMMANDS * turns);
+/** Returns the programs a second that have a number of turns a second. */
+function findRate({ turns }: ProgramKind, turnsPerSecond: number): number {
+  return turnsPerSecond / turns;
 }
 
-test("an urgent class ends in time at a leader with half of what it needs", async (t: Test) => {
+/** A site of which a part has less processor than it needs. */
+interface ReducedSite {
+  readonly plan: TestSitePlan;
+  /** Returns the daemons that have less processor. */
+  readonly findReduced: (site: GatewaySite) => readonly SiteDaemon[];
+  /** Turns a second that these can carry. */
+  readonly turnsPerSecond: number;
+}
+
+/** Asks a site for twice what it can carry, and checks which programs end in time. */
+async function checkOverload(t: Test, reduced: ReducedSite): Promise<void> {
   t.setTimeout(TEST_TIMEOUT_MILLISECONDS);
+  const { plan, findReduced, turnsPerSecond } = reduced;
   const running = await startTestSite(t, {
-    gateways: 2,
+    ...plan,
     waitMilliseconds: 2_500,
-    preloadedByStores: require.resolve("./reduced_processor.js"),
     document: DOCUMENT,
   });
-  for (const store of running.site.stores) store.process.signal("SIGUSR2");
+  for (const daemon of findReduced(running.site)) {
+    daemon.process.signal("SIGUSR2");
+  }
   await sleep(1_000);
   const urgent = new ProgramCallers(running, URGENT);
   const lesser = new ProgramCallers(running, LESSER);
   /** Starts the programs of both classes; returns their outcomes. */
   const start = async (parts: typeof BURST, milliseconds: number) => {
     const [urgentOnes, lesserOnes] = await Promise.all([
-      urgent.startAtRate(findRate(URGENT, parts.urgent), milliseconds),
-      lesser.startAtRate(findRate(LESSER, parts.lesser), milliseconds),
+      urgent.startAtRate(
+        findRate(URGENT, parts.urgent * turnsPerSecond),
+        milliseconds,
+      ),
+      lesser.startAtRate(
+        findRate(LESSER, parts.lesser * turnsPerSecond),
+        milliseconds,
+      ),
     ]);
     return { urgentOnes, lesserOnes };
   };
@@ -114,14 +136,13 @@
   );
   t.ok(
     inTime.urgent >= 0.95 * urgentOnes.length,
-    "the leader carries the urgent class alone, and serves it in time",
+    "the site carries the urgent class alone, and serves it in time",
   );
-  const commands = TURN_COMMANDS *
-    (inTime.urgent * URGENT.turns + inTime.lesser * LESSER.turns);
+  const turns = inTime.urgent * URGENT.turns + inTime.lesser * LESSER.turns;
   t.ok(
-    commands >= 0.75 * LEADER_COMMANDS_PER_SECOND * BURST_MILLISECONDS / 1_000,
-    "three quarters of what the leader can carry are served in time in the burst",
-    { commands },
+    turns >= 0.75 * turnsPerSecond * BURST_MILLISECONDS / 1_000,
+    "three quarters of what the site can carry are served in time in the burst",
+    { turns },
   );
   t.ok(
     urgent.countInTime(laterUrgent) >= 0.95 * laterUrgent.length &&
@@ -132,6 +153,25 @@
     abandoned < decided / 10,
     "few commands are decided without a waiting caller",
   );
+}
+
+test("an urgent class ends in time at a leader with half of what it needs", async (t: Test) => {
+  await checkOverload(t, {
+    plan: {
+      gateways: 2,
+      preloadedByStores: require.resolve("./reduced_processor.js"),
+    },
+    findReduced: ({ stores }) => stores,
+    turnsPerSecond: LEADER_COMMANDS_PER_SECOND / TURN_COMMANDS,
+  });
+});
+
+test("an urgent class ends in time at a gateway with half of what it needs", async (t: Test) => {
+  await checkOverload(t, {
+    plan: { preloadedByGateways: require.resolve("./reduced_gateway.js") },
+    findReduced: ({ gateways }) => gateways,
+    turnsPerSecond: GATEWAY_TURNS_PER_SECOND,
+  });
 });
 
 /** Returns the median and the largest time of the programs that were served. */
--- a/packages/gateway/src/gateway_role.ts
+++ b/packages/gateway/src/gateway_role.ts
@@ -18,6 +18,7 @@
 } from "@mallowlift/core";
 import type { Directory } from "@mallowlift/membership";
 import type { HandlerTable, PeerLinks } from "@mallowlift/transport";
+import { CallQueue } from "./calls/call_queue.ts";
 import type { OpenCall } from "./calls/open_call.ts";
 import { failCall, runPlainCall } from "./calls/run_plain_call.ts";
 import { ProgramUrgency } from "./calls/program_urgency.ts";
@@ -94,6 +95,7 @@
   readonly #quarantine: Quarantine;
   readonly #quarantineExchange: QuarantineExchange;
   readonly #load: LoadReport;
+  readonly #calls: CallQueue;
   #wasReady = false;
   #cleanupTimer: NodeJS.Timeout | undefined;
   #gateways = { count: 1, at: -Infinity };
@@ -143,6 +145,7 @@
     this.#unread = this.#createUnreadAnswers();
     const quarantineLogger = logger.forPart("quarantine");
     this.#quarantine = createLoggedQuarantine(gateway, quarantineLogger);
+    this.#calls = new CallQueue({ metrics, random });
     this.#load = new LoadReport(logger.forPart("gateway"));
     this.#quarantineExchange = new QuarantineExchange({
       quarantine: this.#quarantine,
@@ -304,8 +307,14 @@
       return failCall(call, this.#parts, { error: refusal, notRun: true });
     }
     const isTurn = route.keepsHistory || facts.tokenBudget >= 0;
-    if (isTurn && route.kind === "stream") await runTurn(call, this.#parts);
-    else await runPlainCall(call, this.#parts);
+    const runsTurn = isTurn && route.kind === "stream";
+    await this.#calls.run({
+      call,
+      isTurn: runsTurn,
+      run: () =>
+        runsTurn ? runTurn(call, this.#parts) : runPlainCall(call, this.#parts),
+      refuse: (error) => failCall(call, this.#parts, { error, notRun: true }),
+    });
   }
 
   #countGateways(now: number): number {
--- a/packages/scheduling/src/admission/program_admission.ts
+++ b/packages/scheduling/src/admission/program_admission.ts
@@ -12,13 +12,39 @@
 
 /** Interval at which the limit is adapted, ms. */
 const INTERVAL_MILLISECONDS = 100;
-/** Smallest mean delay of commands at which the leader counts as full, ms. */
-const MIN_TARGET_MILLISECONDS = 80;
-/**
- * Commands that may wait at a leader that is not full. A slow one takes longer for them,
- * and it would idle if new programs were limited by the same delay as at a fast one.
- */
-const TARGET_COMMANDS = 8;
+/** From which delay of its commands a process limits new programs, and in which order. */
+export interface DelayLimits {
+  /** Smallest mean delay at which the process counts as full, ms. */
+  readonly minTargetMilliseconds: number;
+  /**
+   * Commands that may wait at a process that is not full. A slow one takes longer for
+   * them, and it would idle if new programs were limited by the same delay as at a fast
+   * one.
+   */
+  readonly targetCommands: number;
+  /** Commands in an interval below which their delay tells nothing about the load. */
+  readonly minCommands: number;
+  /**
+   * Starts by which a program may be admitted ahead of the rate, for each rank above the
+   * lowest, as a time at that rate, ms. Programs of lower ranks start only what is left.
+   */
+  readonly aheadMilliseconds: number;
+  /**
+   * Part by which the limit rises in an interval for a delay below the target by the
+   * whole range. A leader's rises faster than it falls, since it should not idle while
+   * it refuses programs.
+   */
+  readonly increase: number;
+}
+
+/** Limits of a leader. */
+const DEFAULT_LIMITS: DelayLimits = {
+  minTargetMilliseconds: 80,
+  targetCommands: 8,
+  minCommands: 5,
+  aheadMilliseconds: 100,
+  increase: 0.3,
+};
 /**
  * Delay beyond the target at which no more programs would start, in targets. Between
  * the two, the rate of new programs falls in proportion to the delay.
@@ -32,18 +58,11 @@
 const INTERVALS_UNTIL_LIMITED = 5;
 /** Successive intervals without a refusal after which the limit is lifted. */
 const INTERVALS_UNTIL_LIFTED = 10;
-/** Commands in an interval below which their delay tells nothing about the load. */
-const MIN_COMMANDS = 5;
 /**
  * Part by which the limit falls in an interval, for a delay that exceeds the target by
  * the whole range. Programs act on the load for seconds, so the limit moves slowly.
  */
 const DECREASE = 0.02;
-/**
- * Part by which it rises for a delay below the target by the whole range. It rises
- * faster, since a leader that refuses programs should not idle.
- */
-const INCREASE = 0.3;
 /**
  * Smallest rate that is admitted, as a part of the rate at which programs started
  * before the limit. Commands may be delayed by something else than programs, which no
@@ -54,11 +73,6 @@
 const RATE_MILLISECONDS = 1_000;
 /** Time for which unused starts are carried over, ms. */
 const BURST_MILLISECONDS = 100;
-/**
- * Starts by which a program may be admitted ahead of the rate, for each rank above the
- * lowest, as a time at that rate, ms. Programs of lower ranks start only what is left.
- */
-const AHEAD_MILLISECONDS = 100;
 /**
  * Time for which the fastest commit is kept, ms. What commits take beyond it is delay:
  * a quorum with slow disks or long links is not overloaded.
@@ -85,6 +99,14 @@
   milliseconds: number;
 }
 
+/** Options of a {@linkcode ProgramAdmission}. */
+export interface ProgramAdmissionOptions {
+  /** Can be shared by several admissions of one leader; its own by default. */
+  readonly fastestCommit?: RecentMinimum;
+  /** Those of a leader by default. */
+  readonly limits?: Partial<DelayLimits>;
+}
+
 /** Creates a record of the fastest commit of a leader. */
 export function createFastestCommit(): RecentMinimum {
   return new RecentMinimum(FASTEST_COMMIT_MILLISECONDS);
@@ -103,6 +125,7 @@
 export class ProgramAdmission {
   readonly #order = new StartOrder();
   readonly #fastestCommit: RecentMinimum;
+  readonly #limits: DelayLimits;
   #intervalStart = -Infinity;
   #commands = 0;
   /** By priority. A mean of all would hide the delay of the one that waits. */
@@ -111,25 +134,27 @@
   #refused = 0;
   /** Average rate of commands, per ms. */
   #commandRate = 0;
-  /** Average rate at which programs start, per ms. */
+  /** Average rate at which programs start, in costs per ms. */
   #startRate = 0;
-  /** Rate of programs that fits the load, per ms; Infinity while they are not limited. */
+  /** Rate of programs that fits the load, in costs per ms; Infinity without a limit. */
   #limit = Infinity;
   /** Smallest rate that is admitted, per ms. */
   #minRate = 0;
   /** Rate at which programs are admitted now, per ms. */
   #admittedRate = Infinity;
-  /** Programs that may start now. */
+  /** Costs of the programs that may start now. */
   #credit = 0;
   #creditedAt = 0;
   #delayedIntervals = 0;
+  /** Costs of the programs that started in these, and their length, ms. */
+  #delayedStarts = { costs: 0, milliseconds: 0 };
   #calmIntervals = 0;
   /** Part of the programs of the last interval that were refused. */
   #refusedPart = 0;
 
-  /** @param fastestCommit can be shared by several admissions of one leader */
-  constructor(fastestCommit: RecentMinimum = createFastestCommit()) {
-    this.#fastestCommit = fastestCommit;
+  constructor(options: ProgramAdmissionOptions = {}) {
+    this.#fastestCommit = options.fastestCommit ?? createFastestCommit();
+    this.#limits = { ...DEFAULT_LIMITS, ...options.limits };
   }
 
   /** True while new programs are limited. */
@@ -164,22 +189,24 @@
   tryAdmit(now: number, program?: NewProgram): boolean {
     this.#adapt(now);
     if (this.isLimiting && !this.#takeCredit(now, program)) {
-      this.#refused++;
+      this.#refused += program?.cost ?? 1;
       return false;
     }
-    this.#admitted++;
+    this.#admitted += program?.cost ?? 1;
     return true;
   }
 
   #takeCredit(now: number, program: NewProgram | undefined): boolean {
     const earned = (now - this.#creditedAt) * this.#admittedRate;
-    const most = Math.max(1, BURST_MILLISECONDS * this.#admittedRate);
+    const cost = program?.cost ?? 1;
+    const most = Math.max(cost, BURST_MILLISECONDS * this.#admittedRate);
     this.#credit = Math.min(most, this.#credit + earned);
     this.#creditedAt = now;
     const rank = program === undefined ? 0 : this.#order.findRank(program, now);
-    const ahead = Math.max(1, AHEAD_MILLISECONDS * this.#admittedRate);
-    if (this.#credit + rank * ahead < 1) return false;
-    this.#credit--;
+    const { aheadMilliseconds } = this.#limits;
+    const ahead = Math.max(cost, aheadMilliseconds * this.#admittedRate);
+    if (this.#credit + rank * ahead < cost) return false;
+    this.#credit -= cost;
     if (program !== undefined) this.#order.record(program, now);
     return true;
   }
@@ -195,7 +222,7 @@
     if (milliseconds < INTERVAL_MILLISECONDS) return;
     this.#averageRates(milliseconds);
     const excess = this.#findExcess();
-    this.#countIntervals(excess > 0);
+    this.#countIntervals(excess > 0, milliseconds);
     this.#adaptLimit(excess, now);
     const tried = this.#admitted + this.#refused;
     this.#refusedPart = tried === 0 ? 0 : this.#refused / tried;
@@ -208,11 +235,11 @@
 
   /** Returns the delay beyond the target, in parts of the range. */
   #findExcess(): number {
-    if (this.#commands < MIN_COMMANDS) return -1 / DELAY_RANGE;
+    if (this.#commands < this.#limits.minCommands) return -1 / DELAY_RANGE;
     const delay = this.#findDelay();
     const target = Math.max(
-      MIN_TARGET_MILLISECONDS,
-      TARGET_COMMANDS / this.#commandRate,
+      this.#limits.minTargetMilliseconds,
+      this.#limits.targetCommands / this.#commandRate,
     );
     return Math.min(1, (delay - target) / (DELAY_RANGE * target));
   }
@@ -225,15 +252,19 @@
     for (const { count, milliseconds } of this.#delays.values()) {
       totalCount += count;
       totalMilliseconds += milliseconds;
-      if (count < MIN_COMMANDS) continue;
+      if (count < this.#limits.minCommands) continue;
       longest = Math.max(longest, milliseconds / count);
     }
     if (totalCount === 0) return 0;
     return Math.max(longest, totalMilliseconds / totalCount);
   }
 
-  #countIntervals(isDelayed: boolean): void {
+  #countIntervals(isDelayed: boolean, milliseconds: number): void {
     this.#delayedIntervals = isDelayed ? this.#delayedIntervals + 1 : 0;
+    const { costs, milliseconds: before } = this.#delayedStarts;
+    this.#delayedStarts = isDelayed
+      ? { costs: costs + this.#admitted, milliseconds: before + milliseconds }
+      : { costs: 0, milliseconds: 0 };
     const isCalm = !isDelayed && this.#refused === 0;
     this.#calmIntervals = isCalm ? this.#calmIntervals + 1 : 0;
   }
@@ -250,15 +281,17 @@
   #adaptLimit(excess: number, now: number): void {
     if (!this.isLimiting) {
       if (this.#delayedIntervals < INTERVALS_UNTIL_LIMITED) return;
-      this.#limit = this.#startRate;
-      this.#minRate = MIN_RATE_PART * this.#startRate;
+      // The average lags behind a burst that has just begun.
+      const { costs, milliseconds } = this.#delayedStarts;
+      this.#limit = Math.max(this.#startRate, costs / milliseconds);
+      this.#minRate = MIN_RATE_PART * this.#limit;
       this.#credit = 0;
       this.#creditedAt = now;
     } else if (this.#calmIntervals >= INTERVALS_UNTIL_LIFTED) {
       this.#limit = Infinity;
       return;
     }
-    const gain = excess > 0 ? DECREASE : INCREASE;
+    const gain = excess > 0 ? DECREASE : this.#limits.increase;
     this.#limit = Math.max(this.#minRate, this.#limit * (1 - gain * excess));
     this.#admittedRate = Math.max(this.#minRate, (1 - excess) * this.#limit);
   }
--- a/packages/store/src/requested_command_test.ts
+++ b/packages/scheduling/src/admission/request_order_test.ts
@@ -1,8 +1,7 @@
-import { URGENCIES } from "@mallowlift/consensus";
 import { test } from "tap";
-import { findRequestOrder } from "./requested_command.ts";
+import { findRequestOrder, REQUEST_STAGES } from "./request_order.ts";
 
-const { FINISH, CONTINUE, START } = URGENCIES;
+const { FINISH, CONTINUE, START } = REQUEST_STAGES;
 
 // Guards against urgent programs that wait behind the turns of lesser ones.
 test("priorities are first, in each ends, then started programs before new ones", (t) => {
--- a/packages/scheduling/src/admission/start_order.ts
+++ b/packages/scheduling/src/admission/start_order.ts
@@ -13,6 +13,8 @@
   readonly workspace: string;
   /** Relative entitlement of the workspace, in the same unit for all. */
   readonly weight: number;
+  /** Load that it is expected to cause, in any unit that is the same for all; 1 by default. */
+  readonly cost?: number;
 }
 
 interface ActivePriority {
--- a/packages/store/src/request_admission.ts
+++ b/packages/store/src/request_admission.ts
@@ -89,7 +89,9 @@
   #findPrograms(priority: number): ProgramAdmission {
     const known = this.#programs.get(priority);
     if (known !== undefined) return known;
-    const programs = new ProgramAdmission(this.#fastestCommit);
+    const programs = new ProgramAdmission({
+      fastestCommit: this.#fastestCommit,
+    });
     this.#programs.set(priority, programs);
     return programs;
   }
--- a/packages/store/src/requested_command.ts
+++ b/packages/store/src/requested_command.ts
@@ -7,6 +7,7 @@
   RequestPrecedence,
   TakePermits,
 } from "@mallowlift/core";
+import { findRequestOrder } from "@mallowlift/scheduling";
 import type { SiteCommand, SiteState } from "@mallowlift/sessions";
 
 /** A command as a gateway requests it. */
@@ -68,37 +69,6 @@
   return command.precedence ?? DEFAULT_PRECEDENCE;
 }
 
-/** Orders of one precedence: ends of turns, started programs, new programs. */
-const URGENCY_ORDERS: Readonly<Record<Urgency, number>> = {
-  finish: 0,
-  continue: 1,
-  start: 2,
-};
-/** Priorities that are told apart; larger ones count as the largest. */
-const MAX_PRIORITY = 999;
-
-/**
- * Returns the order of a request in the queue of the leader: programs that can still
- * end in time first, by priority, of which 0 is the most urgent, and in each priority
- * ends of turns, then started programs, then new ones. An urgent program would
- * otherwise wait behind the many turns of lesser ones.
- *
- * @example
- * ```ts
- * const urgent = { priority: 0, isLate: false };
- * const lesser = { priority: 1, isLate: false };
- * findRequestOrder(URGENCIES.START, urgent) < findRequestOrder(URGENCIES.FINISH, lesser);
- * ```
- */
-export function findRequestOrder(
-  urgency: Urgency,
-  { priority, isLate }: RequestPrecedence,
-): number {
-  const rank = Math.min(priority, MAX_PRIORITY) +
-    (isLate ? MAX_PRIORITY + 1 : 0);
-  return rank * Object.keys(URGENCY_ORDERS).length + URGENCY_ORDERS[urgency];
-}
-
 /** Returns the order in which a waiting request is started. */
 export function findQueueOrder(
   command: RequestedCommand,
--- a/packages/transport/src/request_batch.ts
+++ b/packages/transport/src/request_batch.ts
@@ -27,6 +27,12 @@
  */
 export class RequestBatch {
   #size = MAX_REQUESTS;
+  #milliseconds = 0;
+
+  /** Duration of the latest iteration, ms; 0 before the first. */
+  get milliseconds(): number {
+    return this.#milliseconds;
+  }
 
   /** Number of requests to start in the next iteration. */
   get size(): number {
@@ -35,6 +41,7 @@
 
   /** Records how long an iteration took in which requests were started, ms. */
   recordIteration(milliseconds: number): void {
+    this.#milliseconds = milliseconds;
     const size = milliseconds > MAX_ITERATION_MILLISECONDS
       ? this.#size * MAX_ITERATION_MILLISECONDS / milliseconds
       : this.#size + 1;
--- a/packages/transport/src/request_queue.ts
+++ b/packages/transport/src/request_queue.ts
@@ -64,6 +64,14 @@
     return this.#length;
   }
 
+  /**
+   * Duration of the latest iteration of the event loop in which requests were started,
+   * ms: how long what arrives waits until it is read.
+   */
+  get iterationMilliseconds(): number {
+    return this.#batch.milliseconds;
+  }
+
   /**
    * Returns how long the oldest request of an order has waited, ms; 0 if there is none.
    * A new one of this order is expected to wait at least as long.
