--- a/packages/gateway/src/calls/call_queue.ts
+++ b/packages/gateway/src/calls/call_queue.ts
@@ -22,6 +22,7 @@
 import { LoadMeter } from "../load_meter.ts";
 import { KnownPrograms } from "./known_programs.ts";
 import type { OpenCall } from "./open_call.ts";
+import { findScope, scopeId } from "../workspaces/scoped_id.ts";
 import { findPrecedence } from "./request_precedence.ts";
 
 /**
@@ -82,7 +83,7 @@
   async run(queued: QueuedCall): Promise<void> {
     const { call, isTurn, run, refuse } = queued;
     const addedAt = performance.now();
-    const { programId } = call.parts.facts;
+    const programId = findProgramId(call);
     const own = findPrecedence(call, addedAt);
     const precedence = isTurn
       ? own
@@ -107,9 +108,9 @@
   }
 
   #findStage(call: OpenCall, isTurn: boolean): RequestStage {
-    const { programId, previousTurnId } = call.parts.facts;
+    const { previousTurnId } = call.parts.facts;
     const isNew = isTurn && previousTurnId === "" &&
-      !this.#programs.has(programId);
+      !this.#programs.has(findProgramId(call));
     return isNew ? REQUEST_STAGES.START : REQUEST_STAGES.CONTINUE;
   }
 
@@ -170,3 +171,9 @@
     };
   }
 }
+
+/** Returns the id of a call's program, scoped to its workspace. */
+function findProgramId(call: OpenCall): string {
+  const { facts, table, workspace } = call.parts;
+  return scopeId(findScope(table.document, workspace), facts.programId);
+}
