The end of a late turn keeps the order of its priority

Its engine has run, and its answer is ready: behind all others at a full leader it could wait to the deadline of its caller and be lost.

--- a/packages/scheduling/src/admission/request_order.ts
+++ b/packages/scheduling/src/admission/request_order.ts
@@ -26,7 +26,8 @@
  * Returns the order of a request, of which the smallest starts first: programs that can
  * still end in time, by priority, of which 0 is the most urgent, and in each priority
  * ends of turns, then started programs, then new ones. An urgent program would
- * otherwise wait behind the many turns of lesser ones.
+ * otherwise wait behind the many turns of lesser ones. The end of a late turn keeps the
+ * order of its priority: its answer is ready, and would be lost at its deadline.
  *
  * @example
  * ```ts
@@ -41,6 +42,6 @@
   { priority, isLate }: RequestPrecedence,
 ): number {
   const rank = Math.min(priority, MAX_PRIORITY) +
-    (isLate ? MAX_PRIORITY + 1 : 0);
+    (isLate && stage !== REQUEST_STAGES.FINISH ? MAX_PRIORITY + 1 : 0);
   return rank * STAGE_COUNT + STAGE_ORDERS[stage];
 }
