--- a/packages/scheduling/src/admission/program_admission_test.ts
+++ b/packages/scheduling/src/admission/program_admission_test.ts
@@ -126,6 +126,45 @@
   t.end();
 });
 
+// Guards against a limit far below what arrives, which refuses urgent programs of a burst.
+test("the limit starts from the rate of the burst, not from an average before it", (t) => {
+  const admission = new ProgramAdmission();
+  let admitted = 0;
+  for (let now = 0; now < 6_000; now += 10) {
+    const isBurst = now >= 4_000;
+    recordAge(admission, isBurst ? 300 : 5, now);
+    if (!isBurst && now % 100 !== 0) continue;
+    if (admission.tryAdmit(now) && now >= 5_000) admitted++;
+  }
+  t.ok(admitted >= 14, `${admitted} of 100 a second, of which 15 are left`);
+  t.end();
+});
+
+test("of a limited rate, a program takes its cost", (t) => {
+  const countAdmitted = (cost: number) => {
+    const admission = new ProgramAdmission();
+    const admitted = { dear: 0, cheap: 0 };
+    for (let now = 0; now < 10_000; now += 5) {
+      recordAge(admission, now < 4_000 ? 5 : 300, now);
+      const isDear = now % 50 === 0;
+      const program = {
+        priority: 1,
+        workspace: isDear ? "dear" : "cheap",
+        weight: 1,
+        cost: isDear ? cost : 1,
+      };
+      if (!admission.tryAdmit(now, program) || now < 6_000) continue;
+      admitted[isDear ? "dear" : "cheap"]++;
+    }
+    return admitted;
+  };
+  const alike = countAdmitted(1);
+  const dear = countAdmitted(10);
+  t.ok(dear.dear > 0, `${dear.dear} of 80 that cost ten times as much`);
+  t.ok(dear.dear <= alike.dear, `${dear.dear} and ${alike.dear}`);
+  t.end();
+});
+
 /** Programs that ask to start at a fixed rate. */
 interface Arrivals extends NewProgram {
   readonly everyMilliseconds: number;
--- a/packages/store/src/site_owner.ts
+++ b/packages/store/src/site_owner.ts
@@ -294,7 +294,7 @@
    * Refuses a begin that would wait in the queue for longer than its caller does;
    * returns undefined for all others. What ends a turn is done in any case.
    */
-  refuseHopeless(
+  refuseUnservable(
     command: RequestedCommand,
     times: {
       /** Time for which the caller still waits, ms. */
--- a/packages/store/src/store_app.ts
+++ b/packages/store/src/store_app.ts
@@ -71,11 +71,11 @@
   const sentAt = now - context.ageMilliseconds;
   const order = owner.findQueueOrder(command);
   const waitMilliseconds = queue.findWait(order, now);
-  const hopeless = owner.refuseHopeless(command, {
+  const refusal = owner.refuseUnservable(command, {
     leftMilliseconds: deadlineAt - now,
     waitMilliseconds,
   });
-  if (hopeless !== undefined) return Promise.resolve(hopeless);
+  if (refusal !== undefined) return Promise.resolve(refusal);
   const refuse = () =>
     owner.refuse(command, {
       signal,
--- a/packages/store/src/hopeless_requests_test.ts
+++ b/packages/store/src/unservable_requests_test.ts
@@ -42,7 +42,10 @@
     metrics: createMetrics(),
   });
   const refuse = (command: RequestedCommand, waitMilliseconds: number) =>
-    owner.refuseHopeless(command, { leftMilliseconds: 500, waitMilliseconds });
+    owner.refuseUnservable(command, {
+      leftMilliseconds: 500,
+      waitMilliseconds,
+    });
   t.equal(refuse(BEGIN, 499), undefined);
   const refused = refuse(BEGIN, 600);
   t.equal(refused?.val.code, RESULT_CODES.LEADER_BUSY);
