New programs are refused when they arrive, not when their turn comes

Callers of new programs beyond a leader's limit were told so after up to 1.7 s, in masses (0, 190, 0, 160, 5, 211, 3, 228 a second): a new program waits behind all started ones, and was refused when its turn came.

What is certain on arrival is refused then: a limited program, a spent budget, a begin that would wait for longer than its caller. Refused requests have no age.

--- a/packages/store/src/request_admission.ts
+++ b/packages/store/src/request_admission.ts
@@ -22,13 +22,11 @@
 export type RequestRefusal =
   typeof REQUEST_REFUSALS[keyof typeof REQUEST_REFUSALS];
 
-/** A request that has been read. */
+/** A request whose turn has come. */
 export interface ReadRequest extends CommandDelay {
   readonly urgency: Urgency;
   /** When its caller stops to wait, by the local monotonic clock, ms. */
   readonly deadlineAt: number;
-  /** Program that it starts or continues; missing if its gateway does not tell. */
-  readonly program?: NewProgram;
 }
 
 /**
@@ -38,6 +36,7 @@
  * @example
  * ```ts
  * const admission = new RequestAdmission();
+ * admission.tryStart(program, now); // true: it may wait for its turn
  * admission.findRefusal(request, now); // undefined: it is proposed
  * ```
  */
@@ -51,15 +50,19 @@
 
   /** Returns why a request is not proposed; undefined if it is. */
   findRefusal(request: ReadRequest, now: number): RequestRefusal | undefined {
-    const { urgency, deadlineAt, expectedMilliseconds, program } = request;
-    const programs = this.#recordCommand(request, now);
+    const { urgency, deadlineAt, expectedMilliseconds } = request;
+    this.#recordCommand(request, now);
     if (now >= deadlineAt) return REQUEST_REFUSALS.EXPIRED;
     // What ends a turn is worth its commit also if that is expected to come late.
     if (urgency === URGENCIES.FINISH) return undefined;
-    if (now + expectedMilliseconds >= deadlineAt) return REQUEST_REFUSALS.LATE;
-    const isLimited = urgency === URGENCIES.START &&
-      !programs.tryAdmit(now, program);
-    return isLimited ? REQUEST_REFUSALS.LIMITED : undefined;
+    return now + expectedMilliseconds >= deadlineAt
+      ? REQUEST_REFUSALS.LATE
+      : undefined;
+  }
+
+  /** Decides whether a program may start, see {@linkcode ProgramAdmission.tryAdmit}. */
+  tryStart(program: NewProgram, now: number): boolean {
+    return this.#findPrograms(program.priority).tryAdmit(now, program);
   }
 
   /** Records how long a command took to commit, ms. */
@@ -76,14 +79,12 @@
     return this.#findPrograms(priority).findRetryAfter();
   }
 
-  /** Records a command; returns the admission of its priority. */
-  #recordCommand(command: CommandDelay, now: number): ProgramAdmission {
+  #recordCommand(command: CommandDelay, now: number): void {
     const { priority = 0 } = command;
-    const own = this.#findPrograms(priority);
+    this.#findPrograms(priority);
     for (const [other, programs] of this.#programs) {
       if (other >= priority) programs.recordCommand(command, now);
     }
-    return own;
   }
 
   #findPrograms(priority: number): ProgramAdmission {
--- a/packages/store/src/request_admission_test.ts
+++ b/packages/store/src/request_admission_test.ts
@@ -1,6 +1,12 @@
 import { URGENCIES, type Urgency } from "@mallowlift/consensus";
 import { test } from "tap";
-import { REQUEST_REFUSALS, RequestAdmission } from "./request_admission.ts";
+import type { NewProgram } from "@mallowlift/scheduling";
+import {
+  type ReadRequest,
+  REQUEST_REFUSALS,
+  RequestAdmission,
+  type RequestRefusal,
+} from "./request_admission.ts";
 
 /** A request that was read at once and whose caller waits for 1 s from time 0. */
 function createRequest(urgency: Urgency, expectedMilliseconds = 0) {
@@ -36,6 +42,19 @@
   t.end();
 });
 
+/** Lets a request arrive and be read; returns why it is refused. */
+function admit(
+  admission: RequestAdmission,
+  request: ReadRequest & { readonly program: NewProgram },
+  now: number,
+): RequestRefusal | undefined {
+  const isLimited = request.urgency === URGENCIES.START &&
+    !admission.tryStart(request.program, now);
+  // Its delay counts also if it is refused: the test has no other commands.
+  const refusal = admission.findRefusal(request, now);
+  return isLimited ? REQUEST_REFUSALS.LIMITED : refusal;
+}
+
 test("only new programs are limited while commands wait", (t) => {
   const admission = new RequestAdmission();
   const refused = { start: 0, continue: 0, finish: 0 };
@@ -46,10 +65,11 @@
         expectedMilliseconds: 0,
         deadlineAt: Infinity,
       };
-      const refusal = admission.findRefusal(
-        { ...request, ageMilliseconds: 400 },
-        now,
-      );
+      const refusal = admit(admission, {
+        ...request,
+        ageMilliseconds: 400,
+        program: { priority: 0, workspace: "", weight: 1 },
+      }, now);
       if (refusal === REQUEST_REFUSALS.LIMITED) refused[urgency]++;
     }
   }
@@ -71,7 +91,7 @@
       deadlineAt: Infinity,
       program: { priority, workspace: "north", weight: 1 },
     };
-    const refusal = admission.findRefusal(request, now);
+    const refusal = admit(admission, { ...request, priority }, now);
     if (refusal === undefined && now >= 6_000) admitted[priority]++;
   }
   t.ok(admitted[0] >= 78, `${admitted[0]} of 80 urgent programs`);
--- a/packages/store/src/site_owner.ts
+++ b/packages/store/src/site_owner.ts
@@ -9,19 +9,16 @@
 import {
   type BeginTurn,
   type BeginTurnReply,
-  countRefusal,
   type DocumentPart,
   type EndTurn,
   type EndTurnReply,
   fail,
   findResultCode,
   type Logger,
-  LogRateLimiter,
   type Metrics,
   type Outcome,
   type ReadDocumentPart,
   RESULT_CODES,
-  type ResultCode,
   type TakePermits,
   type TakePermitsReply,
   WakeSignal,
@@ -35,16 +32,10 @@
 import { LatestUpstreams } from "./latest_upstreams.ts";
 import { ProposalReport } from "./proposal_report.ts";
 import type { ProposeCommand } from "./propose_command.ts";
-import {
-  type ReadRequest,
-  REQUEST_REFUSALS,
-  RequestAdmission,
-  type RequestRefusal,
-} from "./request_admission.ts";
 import type { RequestContext } from "./request_context.ts";
+import { type RequestArrival, RequestGate } from "./request_gate.ts";
 import {
   createDeduplicationKey,
-  findPrecedence,
   findQueueOrder,
   findUrgency,
   type RequestedCommand,
@@ -65,12 +56,6 @@
   readonly metrics: Metrics;
 }
 
-/**
- * Minimum time between two log lines on refused turns of one program, ms: a
- * program in a loop sends dozens of requests a second.
- */
-const REFUSAL_LOG_INTERVAL_MILLISECONDS = 10_000;
-
 /** Result for a caller that has given up and no longer reads it. */
 const CANCELLED = fail(RESULT_CODES.CANCELLED, "The caller has given up");
 /** Result of a command that would change nothing and is therefore not proposed. */
@@ -85,13 +70,10 @@
   readonly #options: SiteOwnerOptions;
   readonly #latestUpstreams = new LatestUpstreams();
   readonly #fairShares = new FairShares();
-  readonly #admission = new RequestAdmission();
+  readonly #gate: RequestGate;
   readonly #report: ProposalReport;
   /** Commands in flight, by their {@linkcode createDeduplicationKey}. */
   readonly #sharedCommands = new SharedCommands<Outcome<Applied>>();
-  readonly #refusalLogLimit = new LogRateLimiter(
-    REFUSAL_LOG_INTERVAL_MILLISECONDS,
-  );
   #isLeading = false;
   /** Site time and local time at the start of this leadership, ms. */
   #clockBase = { site: 0, local: 0 };
@@ -99,6 +81,11 @@
   constructor(options: SiteOwnerOptions) {
     this.#options = options;
     this.#report = new ProposalReport(options);
+    this.#gate = new RequestGate({
+      ...options,
+      report: this.#report,
+      isInFlight: (key) => this.#sharedCommands.has(key),
+    });
     const propose: ProposeCommand = (command, signal) =>
       this.#propose(command, signal);
     this.documents = new DocumentOwner({ ...options, propose });
@@ -164,7 +151,7 @@
     const result = await this.#propose(command, signal);
     if (result.err) {
       this.#turns.end(request.turnId, undefined);
-      this.#logRefusedTurn(request, result.val.code);
+      this.#gate.logRefusedTurn(request, result.val.code);
       return result;
     }
     this.#turns.recordBegun(request);
@@ -219,99 +206,20 @@
     return Ok({ grants });
   }
 
-  /** Logs the reason of a final refusal of a turn, rate-limited per program. */
-  #logRefusedTurn(request: BeginTurn, code: ResultCode): void {
-    const { state, logger } = this.#options;
-    const isFinal = code === RESULT_CODES.BUDGET_EXCEEDED ||
-      code === RESULT_CODES.TURN_NOT_FOUND;
-    if (!isFinal) return;
-    const repeats = this.#refusalLogLimit.take(
-      `${code.name} ${request.programId}`,
-      performance.now(),
-    );
-    if (repeats === undefined) return;
-    if (code === RESULT_CODES.BUDGET_EXCEEDED) {
-      const use = state.budgets.describe(request.programId);
-      return logger.info("Budget spent", {
-        call: request.turnId,
-        program: request.programId,
-        budget: request.tokenBudget,
-        spent: use.spent,
-        reserved: use.reserved,
-        open_turns: use.openTurns,
-        repeats,
-      });
-    }
-    logger.info("Previous turn not found", {
-      call: request.turnId,
-      program: request.programId,
-      previous: request.previousId,
-      kept_turns: state.turns.size,
-      repeats,
-    });
-  }
-
-  /**
-   * Refuses a request whose caller cannot get the result in time, or that starts a
-   * program while these are limited; returns undefined for all others.
-   */
-  refuse(
+  /** Returns the refusal of a request when it arrives; undefined if it may wait. */
+  refuseOnArrival(
     command: RequestedCommand,
-    caller: RequestContext,
+    arrival: RequestArrival,
   ): ReturnType<typeof fail> | undefined {
-    const now = performance.now();
-    const { ageMilliseconds, deadlineAt } = caller;
-    const precedence = findPrecedence(command);
-    this.#report.recordAge(
-      { kind: command.kind, ...precedence },
-      ageMilliseconds,
-    );
-    const group = this.#options.getGroup();
-    const isShared = this.#sharedCommands.has(createDeduplicationKey(command));
-    if (group === undefined || !group.isLeading || isShared) return undefined;
-    if (this.#isNeedlessSettlement(command)) return undefined;
-    if (this.#hasSpentBudget(command)) return this.#refuseSpent(command);
-    const urgency = findUrgency(command, this.#options.state);
-    const load = group.findProposalLoad(urgency, now);
-    const { expectedMilliseconds } = load;
-    const refusal = this.#admission.findRefusal({
-      urgency,
-      ageMilliseconds,
-      expectedMilliseconds,
-      deadlineAt,
-      ...precedence,
-      ...describeProgram(command),
-    }, now);
-    if (refusal === undefined) return undefined;
-    if (refusal === REQUEST_REFUSALS.EXPIRED) return this.#refuseExpired();
-    const retryMilliseconds = refusal === REQUEST_REFUSALS.LIMITED
-      ? this.#admission.findProgramRetryAfter(precedence.priority)
-      : load.retryAfterMilliseconds;
-    return this.#refuseForLoad(retryMilliseconds, refusal);
+    return this.#gate.refuseOnArrival(command, arrival, performance.now());
   }
 
-  /**
-   * Refuses a begin that would wait in the queue for longer than its caller does;
-   * returns undefined for all others. What ends a turn is done in any case.
-   */
-  refuseUnservable(
+  /** Returns the refusal of a request whose turn has come; undefined if it is started. */
+  refuseInTurn(
     command: RequestedCommand,
-    times: {
-      /** Time for which the caller still waits, ms. */
-      readonly leftMilliseconds: number;
-      /** Expected wait in the queue, ms. */
-      readonly waitMilliseconds: number;
-    },
+    caller: RequestContext,
   ): ReturnType<typeof fail> | undefined {
-    const { leftMilliseconds, waitMilliseconds } = times;
-    const isInTime = waitMilliseconds === 0 ||
-      waitMilliseconds < leftMilliseconds;
-    if (command.kind === "end" || isInTime) return undefined;
-    // A command in flight is joined by its repetition without a wait.
-    if (this.#sharedCommands.has(createDeduplicationKey(command))) {
-      return undefined;
-    }
-    return this.#refuseForLoad(Math.round(waitMilliseconds));
+    return this.#gate.refuseInTurn(command, caller, performance.now());
   }
 
   /** Returns the order in which a waiting request is started. */
@@ -319,63 +227,6 @@
     return findQueueOrder(command, this.#options.state);
   }
 
-  /**
-   * True if a command settles a turn that has reserved nothing and cannot do so any
-   * more: a gateway settles each turn whose begin it has given up, also if that was
-   * never proposed.
-   */
-  #isNeedlessSettlement(command: SiteCommand | RequestedCommand): boolean {
-    if (command.kind !== "end" || command.whole || command.tokens > 0) {
-      return false;
-    }
-    const { programId, turnId } = command;
-    const beginKey = createDeduplicationKey({
-      kind: "begin",
-      programId,
-      turnId,
-    });
-    return !this.#sharedCommands.has(beginKey) &&
-      !this.#options.state.budgets.hasReserved(programId, turnId);
-  }
-
-  /** True for a begin that each leader would refuse, whatever is committed before it. */
-  #hasSpentBudget(
-    command: RequestedCommand,
-  ): command is RequestedCommand & { readonly kind: "begin" } {
-    if (command.kind !== "begin" || command.programId === "") return false;
-    const { budgets, turns } = this.#options.state;
-    const { programId, turnId, previousId, tokenBudget } = command;
-    const isKnown = previousId === "" || turns.has(previousId);
-    return isKnown && budgets.isSpent(programId, tokenBudget) &&
-      !budgets.hasReserved(programId, turnId);
-  }
-
-  /** Refuses a turn without a command: programs without a budget often go on for long. */
-  #refuseSpent(request: BeginTurn): ReturnType<typeof fail> {
-    const code = RESULT_CODES.BUDGET_EXCEEDED;
-    countRefusal(this.#options.metrics, "owner", code);
-    this.#logRefusedTurn(request, code);
-    return fail(code, code.meaning);
-  }
-
-  #refuseExpired(): ReturnType<typeof fail> {
-    countRefusal(this.#options.metrics, "owner", RESULT_CODES.TIMEOUT);
-    this.#report.recordRefusal(REQUEST_REFUSALS.EXPIRED);
-    return CANCELLED;
-  }
-
-  #refuseForLoad(
-    retryMilliseconds: number,
-    part: RequestRefusal = REQUEST_REFUSALS.LATE,
-  ): ReturnType<typeof fail> {
-    this.#countRefusedForLoad(part);
-    return fail(
-      RESULT_CODES.LEADER_BUSY,
-      RESULT_CODES.LEADER_BUSY.meaning,
-      retryMilliseconds,
-    );
-  }
-
   async #propose(
     command: SiteCommand,
     signal: AbortSignal,
@@ -388,7 +239,7 @@
     if (group === undefined) return this.#refuseNotLeading();
     const { state } = this.#options;
     const isNeedless = state.isRedundant(command) ||
-      this.#isNeedlessSettlement(command);
+      this.#gate.isNeedlessSettlement(command);
     // A retry after a lost reply needs no further log entry.
     if (group.isLeading && isNeedless) return Ok(ALREADY_DONE);
     const startedAt = performance.now();
@@ -400,10 +251,12 @@
       {
         propose: () => group.propose(command, findUrgency(command, state)),
         onEnd: (outcome, end) => {
-          if (isRefusedForLoad(outcome)) return this.#countRefusedForLoad();
+          if (isRefusedForLoad(outcome)) {
+            return this.#gate.countRefusedForLoad();
+          }
           const now = performance.now();
           const milliseconds = now - startedAt;
-          this.#admission.recordCommit(milliseconds, now);
+          this.#gate.recordCommit(milliseconds, now);
           const isUnchanged = outcome.ok &&
             (outcome.val.result as SiteResult).code !== "OK";
           this.#report.record(
@@ -433,12 +286,7 @@
       .findProposalLoad(urgency, now);
     const share = { workspace: quota.workspace, weight: quota.most };
     if (this.#fairShares.tryAdmit(share, part, now)) return Ok(undefined);
-    return this.#refuseForLoad(retryMilliseconds);
-  }
-
-  #countRefusedForLoad(part: RequestRefusal = REQUEST_REFUSALS.LATE): void {
-    this.#report.recordRefusal(part);
-    countRefusal(this.#options.metrics, part, RESULT_CODES.LEADER_BUSY);
+    return this.#gate.refuseForLoad(retryMilliseconds);
   }
 
   #getSiteTime(): number {
@@ -451,21 +299,6 @@
   }
 }
 
-/** Describes the program of a turn whose gateway tells its priority. */
-function describeProgram(
-  command: RequestedCommand,
-): Pick<ReadRequest, "program"> {
-  if (command.kind !== "begin" || command.precedence === undefined) return {};
-  const { precedence, quota } = command;
-  return {
-    program: {
-      priority: precedence.priority,
-      workspace: quota?.workspace ?? "",
-      weight: quota?.most ?? 1,
-    },
-  };
-}
-
 function isRefusedForLoad(outcome: Outcome<Applied>): boolean {
   return outcome.err && outcome.val.code === RESULT_CODES.LEADER_BUSY;
 }
--- a/packages/store/src/store_app.ts
+++ b/packages/store/src/store_app.ts
@@ -54,7 +54,7 @@
 
 /**
  * Refuses or handles a request when its turn comes; its wait until then adds to its age.
- * A request whose caller is known to leave before is refused at once.
+ * What is known not to be served is refused on arrival.
  */
 function runInTurn<T>(
   command: RequestedCommand,
@@ -71,13 +71,13 @@
   const sentAt = now - context.ageMilliseconds;
   const order = owner.findQueueOrder(command);
   const waitMilliseconds = queue.findWait(order, now);
-  const refusal = owner.refuseUnservable(command, {
+  const refusal = owner.refuseOnArrival(command, {
     leftMilliseconds: deadlineAt - now,
     waitMilliseconds,
   });
   if (refusal !== undefined) return Promise.resolve(refusal);
   const refuse = () =>
-    owner.refuse(command, {
+    owner.refuseInTurn(command, {
       signal,
       deadlineAt,
       ageMilliseconds: performance.now() - sentAt,
--- a/packages/store/src/unservable_requests_test.ts
+++ b/packages/store/src/unservable_requests_test.ts
@@ -1,3 +1,4 @@
+import type { ReplicatedGroup } from "@mallowlift/consensus";
 import {
   createMetrics,
   type EndTurn,
@@ -37,12 +38,12 @@
     reader,
     changed,
     minStores: 1,
-    getGroup: () => undefined,
+    getGroup: () => ({ isLeading: true }) as ReplicatedGroup,
     logger: SILENT_LOGGER,
     metrics: createMetrics(),
   });
   const refuse = (command: RequestedCommand, waitMilliseconds: number) =>
-    owner.refuseUnservable(command, {
+    owner.refuseOnArrival(command, {
       leftMilliseconds: 500,
       waitMilliseconds,
     });
