--- a/review/kit-2/site.mjs
+++ b/review/kit-2/site.mjs
@@ -108,7 +108,7 @@
     const run = { id, server: this.id, at: Date.now(), method: request.method, url: request.url, headers, body, hasClosed: false, isDone: false };
     response.once("close", () => { run.hasClosed = !response.writableFinished; run.closedAt = Date.now(); });
     this.runs.push(run);
-    this.site.record("run", { id, server: this.id, bytes: body.length });
+    if (!this.site.isBrief) this.site.record("run", { id, server: this.id, bytes: body.length });
     const head = { "Mallowlift-Request-Id": id, "Mallowlift-Server-Stamp": `${this.id}.${++this.stamps}.${id}` };
     await this.site.serve(run, response, head);
     run.isDone = true;
