Stores drop expired turns with the same commands after a restart

Callers saw: nothing yet.

A restored store swept with its first command, the others up to two seconds later. In between, a begin from an expired turn reserves tokens on one store and is refused on another; the states then differ for good, and so does what a new leader answers.

Evidence: the new test restores a copy at each 0.7 s and applies the same commands to both.

--- a/packages/sessions/src/site_state.ts
+++ b/packages/sessions/src/site_state.ts
@@ -18,7 +18,11 @@
 import { decodeSiteSnapshot, encodeSiteSnapshot } from "./site_snapshot.ts";
 import { TurnTree } from "./turn_tree.ts";
 
-/** Minimum time between two sweeps, ms of site time; expiry need not be exact. */
+/**
+ * Interval of sweeps, ms of site time; expiry need not be exact. Sweeps are due at
+ * multiples of it, so that a state that was restored in between sweeps with the same
+ * command as all others.
+ */
 const SWEEP_INTERVAL_MILLISECONDS = 2_000;
 /**
  * Time for which a turn is kept beyond its retention, ms: callers count the
@@ -44,7 +48,6 @@
   /** The document in force and the ones before it, newest first. */
   #documents: readonly PackedDocument[] = [];
   #time = 0;
-  #sweptAt = 0;
   /** Called when another document is put in force. */
   onDocument: () => void = () => undefined;
 
@@ -210,15 +213,20 @@
   }
 
   #advance(at: number): void {
+    const sweepsBefore = countDueSweeps(this.#time);
     this.#time = Math.max(this.#time, at);
-    if (at - this.#sweptAt < SWEEP_INTERVAL_MILLISECONDS) return;
-    this.#sweptAt = at;
-    this.turns.sweep(at);
-    this.budgets.sweep(at);
-    this.quotas.sweep(at);
+    if (countDueSweeps(this.#time) === sweepsBefore) return;
+    this.turns.sweep(this.#time);
+    this.budgets.sweep(this.#time);
+    this.quotas.sweep(this.#time);
   }
 }
 
+/** Number of sweeps that are due until a site time, ms. */
+function countDueSweeps(time: number): number {
+  return Math.floor(time / SWEEP_INTERVAL_MILLISECONDS);
+}
+
 function packIfUnpacked(
   document: PackedDocument | UnpackedDocument,
 ): PackedDocument {
--- a/packages/sessions/src/site_state_test.ts
+++ b/packages/sessions/src/site_state_test.ts
@@ -292,6 +292,32 @@
   t.end();
 });
 
+// Guards against stores that refuse different commands, as each dropped expired turns
+// and budgets at a time that was counted from its own start.
+test("a restored state drops turns with the same commands as the original", (t) => {
+  const settle = (at: number) =>
+    end(`settled-${at}`, { at, whole: false, programId: "other" });
+  for (let restoredAt = 500; restoredAt < 80_000; restoredAt += 700) {
+    const state = new SiteState();
+    const copy = new SiteState();
+    let isRestored = false;
+    state.apply(end("a"));
+    for (let at = 100; at < 90_000; at += 300) {
+      if (!isRestored && at >= restoredAt) {
+        copy.restore(Buffer.concat([...state.takeSnapshot()]));
+        isRestored = true;
+      }
+      state.apply(settle(at));
+      if (!isRestored) continue;
+      copy.apply(settle(at));
+      if (copy.turns.has("a") === state.turns.has("a")) continue;
+      t.fail(`restored at ${restoredAt}: the states differ at ${at}`);
+      break;
+    }
+  }
+  t.end();
+});
+
 test("a document with any error is refused", (t) => {
   const service = {
     name: "s",
