A history is kept while a turn that continues it may be open

Cause: a turn extends the retention of those before it only when it ends.

The site's gateways that had run the first turns hid it: their cache still held what the stores had dropped.

Change: the begin of a turn tells how long it may stay open, which its route's time-out and its caller bound, and extends the retention of its whole chain until then and the grace time. A turn whose chain is not whole when it ends does not end well, and a begin from such a turn, also one that an earlier release kept, is refused with 503. A chain that can't be listed as a whole is refused and not shortened. A repeated begin is answered without a command only while its chain is held for it.

--- a/packages/bench/src/gateways/turn_caller.ts
+++ b/packages/bench/src/gateways/turn_caller.ts
@@ -1,6 +1,7 @@
 /** Calls turns at a test site, and finds what its upstreams ran. */
 
 import { sleep } from "@mallowlift/core";
+import { WORK_HEADER } from "@mallowlift/mocks";
 import { callGateway, type CallResult } from "./gateway_caller.ts";
 import type { TestSite } from "./start_test_site.ts";
 
@@ -13,6 +14,8 @@
     readonly gateway?: number;
     readonly budget?: number;
     readonly program?: string;
+    /** Time until the upstream begins to answer, ms. */
+    readonly workMilliseconds?: number;
   },
 ): Promise<CallResult> {
   const url = site.gateways[turn.gateway ?? 0]?.callersUrl ?? "";
@@ -29,6 +32,9 @@
       ...(turn.previous === undefined
         ? {}
         : { "x-previous-turn": turn.previous }),
+      ...(turn.workMilliseconds === undefined
+        ? {}
+        : { [WORK_HEADER]: String(turn.workMilliseconds) }),
     },
   });
 }
--- a/packages/core/src/result/result_codes.ts
+++ b/packages/core/src/result/result_codes.ts
@@ -208,6 +208,11 @@
     notRun: true,
     meaning: "The gateway has no room for the bytes of this request for now.",
   }),
+  HISTORY_INCOMPLETE: defineCode(2019, "HISTORY_INCOMPLETE", {
+    httpStatus: 503,
+    notRun: true,
+    meaning: "The history of the turn is not available as a whole.",
+  }),
   OUTCOME_UNKNOWN: defineCode(3001, "OUTCOME_UNKNOWN", {
     httpStatus: 502,
     notRun: false,
--- a/packages/core/src/types/site.ts
+++ b/packages/core/src/types/site.ts
@@ -243,6 +243,11 @@
   readonly tokenBudget: number;
   /** Maximum number of tokens that this turn may generate. */
   readonly mostTokens: number;
+  /**
+   * Time for which the turn may stay open at most, ms; its history is kept for as
+   * long. Missing in earlier releases.
+   */
+  readonly openMilliseconds?: number;
   /** Quota to which the turn is charged; missing if there is none. */
   readonly quota?: QuotaLimit;
 }
@@ -251,6 +256,11 @@
 export interface BeginTurnReply {
   /** The turns from `missingFrom` back to a known one, newest first. */
   readonly turns: readonly TurnRecord[];
+  /**
+   * Length of the inputs and outputs of all turns that this one continues, bytes;
+   * missing in earlier releases.
+   */
+  readonly historyBytes?: number;
   /** Upstream that ran the program's latest turn; empty if unknown. */
   readonly latestUpstream?: string;
   /** Upstream on which the leader placed the turn; missing if it did not. */
--- a/packages/gateway/src/calls/run_turn.ts
+++ b/packages/gateway/src/calls/run_turn.ts
@@ -188,6 +188,7 @@
       precedence: findPrecedence(call, performance.now()),
       tokenBudget: facts.tokenBudget,
       mostTokens: facts.mostTokens,
+      openMilliseconds: Math.max(0, Math.ceil(remaining)),
       ...(quota === undefined ? {} : { quota: quota.bound }),
       ...cached,
     },
--- a/packages/sessions/src/site_state.ts
+++ b/packages/sessions/src/site_state.ts
@@ -27,7 +27,8 @@
 /**
  * Time for which a turn is kept beyond its retention, ms: callers count the
  * retention from when they receive the end of the turn, which is after its
- * commit.
+ * commit. The history of an open turn is kept for as long beyond the deadline of
+ * the turn, whose end may be committed after it.
  */
 const RETENTION_GRACE_MILLISECONDS = 10_000;
 /**
@@ -92,11 +93,12 @@
     const { programId, turnId } = command;
     if (programId === "") return false;
     if (command.kind === "begin") {
-      return this.budgets.hasReserved(programId, turnId);
+      return this.budgets.hasReserved(programId, turnId) &&
+        this.#isHistoryHeld(command);
     }
     return this.budgets.hasSettled(programId, turnId) &&
       (!command.whole || command.retentionMilliseconds === 0 ||
-        this.turns.has(turnId));
+        this.turns.measureChain(turnId) !== undefined);
   }
 
   /**
@@ -153,8 +155,14 @@
     if (previousId !== "" && !this.turns.has(previousId)) {
       return { code: "TURN_NOT_FOUND" };
     }
+    if (this.turns.measureChain(previousId) === undefined) {
+      return { code: "HISTORY_INCOMPLETE" };
+    }
     // The quota was charged when the turn was first begun.
-    if (this.budgets.hasReserved(programId, turnId)) return { code: "OK" };
+    if (this.budgets.hasReserved(programId, turnId)) {
+      this.#holdHistory(command);
+      return { code: "OK" };
+    }
     const wait = quota === undefined
       ? 0
       : this.quotas.findWait(quota, this.#time);
@@ -164,11 +172,25 @@
     const isReserved = programId === "" ||
       this.budgets.reserve(command, command.at);
     if (!isReserved) return { code: "BUDGET_EXCEEDED" };
+    this.#holdHistory(command);
     if (quota === undefined) return { code: "OK" };
     this.quotas.charge({ ...quota, needed: 1, spare: 0 }, this.#time);
     return { code: "OK", isCharged: true };
   }
 
+  /** Keeps the history of a turn while the turn may be open. */
+  #holdHistory({ previousId, openMilliseconds = 0 }: BeginCommand): void {
+    const until = this.#time + openMilliseconds + RETENTION_GRACE_MILLISECONDS;
+    this.turns.extendRetention(previousId, until);
+  }
+
+  /** True if the history of a turn is kept while the turn may be open. */
+  #isHistoryHeld(command: BeginCommand): boolean {
+    const { previousId, openMilliseconds = 0, at } = command;
+    return previousId === "" ||
+      this.turns.isKeptUntil(previousId, at + openMilliseconds);
+  }
+
   #charge(command: ChargeCommand): SiteResult {
     this.#advance(command.at);
     const grants = command.charges.map((charge) =>
@@ -185,7 +207,9 @@
     if (command.whole && command.retentionMilliseconds > 0) {
       const retentionMilliseconds = command.retentionMilliseconds +
         RETENTION_GRACE_MILLISECONDS;
-      this.turns.keep({ ...command, retentionMilliseconds }, command.at);
+      const turn = { ...command, retentionMilliseconds };
+      const isWhole = this.turns.keep(turn, command.at);
+      if (!isWhole) return { code: "HISTORY_INCOMPLETE" };
     }
     if (command.charge === undefined) return { code: "OK" };
     const grant = this.quotas.charge(command.charge, this.#time);
--- a/packages/sessions/src/site_state_test.ts
+++ b/packages/sessions/src/site_state_test.ts
@@ -239,10 +239,10 @@
   t.equal(beginAfter("b"), "OK");
   t.equal(beginAfter("broken"), "TURN_NOT_FOUND");
   t.equal(beginAfter("nowhere"), "TURN_NOT_FOUND");
-  t.same(state.turns.listChain("c").map((turn) => turn.turnId), ["c", "a"]);
+  t.same(state.turns.listChain("c")?.map((turn) => turn.turnId), ["c", "a"]);
   t.equal(beginAfter("b", 80_000), "TURN_NOT_FOUND", "its retention has ended");
   t.equal(beginAfter("c", 100_000), "OK");
-  t.same(state.turns.listChain("c").map((turn) => turn.turnId), ["c", "a"]);
+  t.same(state.turns.listChain("c")?.map((turn) => turn.turnId), ["c", "a"]);
   t.end();
 });
 
@@ -259,7 +259,7 @@
   t.equal(copy.documentVersion, 3);
   t.equal(await readSource(copy), "three");
   t.equal(copy.retiring.get("store-1"), "i-1");
-  t.equal(String(copy.turns.listChain("a")[0]?.output), "out-a");
+  t.equal(String(copy.turns.listChain("a")?.[0]?.output), "out-a");
   t.equal(copy.apply(begin("d")).code, "OK");
   t.equal(copy.apply(begin("e")).code, "BUDGET_EXCEEDED");
 });
@@ -359,11 +359,14 @@
     state.apply(end(turnId ?? "", { previousId: previousId ?? "" }));
   }
   const list = (known: readonly string[]) =>
-    state.turns.listChain("c", new Set(known)).map((turn) => turn.turnId);
+    state.turns.listChain("c", new Set(known))?.map((turn) => turn.turnId);
   t.same(list([]), ["c", "b", "a"]);
   t.same(list(["a"]), ["c", "b"]);
   t.same(list(["a", "b"]), ["c"]);
   t.same(list(["unknown"]), ["c", "b", "a"]);
+  t.same(list(["c"]), []);
+  t.equal(state.turns.listChain("none"), undefined);
+  t.same(state.turns.listChain(""), []);
   t.end();
 });
 
--- a/packages/sessions/src/turn_tree.ts
+++ b/packages/sessions/src/turn_tree.ts
@@ -8,9 +8,19 @@
   readonly expiresAt: number;
 }
 
-type MutableTurn = TurnRecord & { expiresAt: number };
+type MutableTurn = TurnRecord & {
+  expiresAt: number;
+  /**
+   * Length of the inputs and outputs of the whole chain, bytes; undefined if a turn
+   * of it is missing.
+   */
+  readonly chainBytes: number | undefined;
+};
 
-/** The turns of all programs. */
+/**
+ * The turns of all programs. No turn expires before one that continues it, so that a
+ * chain which was whole when its last turn was kept stays whole.
+ */
 export class TurnTree {
   readonly #turns = new Map<string, MutableTurn>();
 
@@ -29,30 +39,63 @@
     return this.#turns.get(turnId)?.upstream ?? "";
   }
 
-  /** Keeps a turn, and extends the retention of the turns before it accordingly. */
-  keep(turn: EndTurn, at: number): void {
-    if (this.#turns.has(turn.turnId)) return;
+  /**
+   * Keeps a turn, and extends the retention of the turns before it accordingly. If one
+   * of them is missing, the turn is kept as one that cannot be continued.
+   *
+   * @returns true if the whole chain is kept
+   */
+  keep(turn: EndTurn, at: number): boolean {
+    const known = this.#turns.get(turn.turnId);
+    if (known !== undefined) return known.chainBytes !== undefined;
     const expiresAt = at + turn.retentionMilliseconds;
     const { turnId, previousId, input, output, upstream } = turn;
     const kept = { turnId, previousId, input, output, upstream, expiresAt };
-    this.#turns.set(turnId, kept);
-    this.#extendRetention(previousId, expiresAt);
+    const chainBytes = this.#measureWith(kept);
+    this.#turns.set(turnId, { ...kept, chainBytes });
+    this.extendRetention(previousId, expiresAt);
+    return chainBytes !== undefined;
+  }
+
+  /** Keeps a turn and those before it at least until a site time, ms. */
+  extendRetention(turnId: string, expiresAt: number): void {
+    let turn = this.#turns.get(turnId);
+    while (turn !== undefined && turn.expiresAt < expiresAt) {
+      turn.expiresAt = expiresAt;
+      turn = this.#turns.get(turn.previousId);
+    }
+  }
+
+  /** True if a turn and those before it are kept until a site time, ms. */
+  isKeptUntil(turnId: string, at: number): boolean {
+    const turn = this.#turns.get(turnId);
+    return turn?.chainBytes !== undefined && turn.expiresAt >= at;
   }
 
   /**
-   * Returns a turn and those before it, newest first; stops at a turn that is
-   * missing or already known to the caller.
+   * Returns the length of the inputs and outputs of a turn and of all before it, bytes;
+   * 0 without a turn, undefined if one of them is missing.
+   */
+  measureChain(turnId: string): number | undefined {
+    return turnId === "" ? 0 : this.#turns.get(turnId)?.chainBytes;
+  }
+
+  /**
+   * Returns a turn and those before it, newest first, down to a turn that is already
+   * known to the caller; undefined if one of them is missing.
    */
   listChain(
     turnId: string,
     known: ReadonlySet<string> = new Set(),
-  ): readonly TurnRecord[] {
+  ): readonly TurnRecord[] | undefined {
     const chain: TurnRecord[] = [];
-    let turn = this.#turns.get(turnId);
-    while (turn !== undefined && !known.has(turn.turnId)) {
-      const { expiresAt: _expiresAt, ...kept } = turn;
+    let next = turnId;
+    while (next !== "" && !known.has(next)) {
+      const turn = this.#turns.get(next);
+      if (turn === undefined) return undefined;
+      const { expiresAt: _expiresAt, chainBytes: _chainBytes, ...kept } = turn;
       chain.push(kept);
-      turn = this.#turns.get(turn.previousId);
+      next = turn.previousId;
     }
     return chain;
   }
@@ -76,23 +119,28 @@
     return stored;
   }
 
-  /** Replaces all turns by those of a snapshot. */
+  /**
+   * Replaces all turns by those of a snapshot, which lists each turn after the one that
+   * it continues.
+   */
   restore(turns: readonly StoredTurn[]): void {
     this.#turns.clear();
-    for (const turn of turns) this.#turns.set(turn.turnId, copyTurn(turn));
+    for (const turn of turns) {
+      const chainBytes = this.#measureWith(turn);
+      this.#turns.set(turn.turnId, { ...copyTurn(turn), chainBytes });
+    }
   }
 
-  #extendRetention(turnId: string, expiresAt: number): void {
-    let turn = this.#turns.get(turnId);
-    while (turn !== undefined && turn.expiresAt < expiresAt) {
-      turn.expiresAt = expiresAt;
-      turn = this.#turns.get(turn.previousId);
-    }
+  /** Length of the chain that ends with a turn which is not kept yet, bytes. */
+  #measureWith(turn: TurnRecord): number | undefined {
+    const before = this.measureChain(turn.previousId);
+    if (before === undefined) return undefined;
+    return before + turn.input.length + turn.output.length;
   }
 }
 
 /** Copies field by field, as spreading properties takes several times as long. */
-function copyTurn(turn: StoredTurn): MutableTurn {
+function copyTurn(turn: StoredTurn): StoredTurn {
   const { turnId, previousId, input, output, upstream, expiresAt } = turn;
   return { turnId, previousId, input, output, upstream, expiresAt };
 }
--- a/packages/store/src/request_gate.ts
+++ b/packages/store/src/request_gate.ts
@@ -5,6 +5,7 @@
 import {
   type BeginTurn,
   countRefusal,
+  type EndTurn,
   fail,
   type Logger,
   LogRateLimiter,
@@ -34,6 +35,13 @@
  */
 const REFUSAL_LOG_INTERVAL_MILLISECONDS = 10_000;
 
+/** Log messages of refusals that the state of the site gives a reason for. */
+const REFUSAL_MESSAGES: ReadonlyMap<ResultCode, string> = new Map([
+  [RESULT_CODES.BUDGET_EXCEEDED, "Budget spent"],
+  [RESULT_CODES.TURN_NOT_FOUND, "Previous turn not found"],
+  [RESULT_CODES.HISTORY_INCOMPLETE, "History incomplete"],
+]);
+
 /** Result for a caller that has given up and no longer reads it. */
 const CANCELLED = fail(RESULT_CODES.CANCELLED, "The caller has given up");
 
@@ -170,12 +178,39 @@
     countRefusal(this.#options.metrics, part, RESULT_CODES.LEADER_BUSY);
   }
 
-  /** Logs the reason of a final refusal of a turn, rate-limited per program. */
+  /** Refuses a turn of whose history a part is missing. */
+  refuseIncomplete(request: BeginTurn): Refusal {
+    const code = RESULT_CODES.HISTORY_INCOMPLETE;
+    countRefusal(this.#options.metrics, "owner", code);
+    this.logRefusedTurn(request, code);
+    return fail(code, code.meaning);
+  }
+
+  /** Logs and counts an answered turn that is not kept, as its history is gone. */
+  recordRefusedEnd(request: EndTurn, code: ResultCode): void {
+    if (code !== RESULT_CODES.HISTORY_INCOMPLETE) return;
+    const { state, logger, metrics } = this.#options;
+    countRefusal(metrics, "owner", code);
+    const repeats = this.#refusalLogLimit.take(
+      `end ${code.name} ${request.programId}`,
+      performance.now(),
+    );
+    if (repeats === undefined) return;
+    logger.warn("Turn outlasted its history", {
+      call: request.turnId,
+      program: request.programId,
+      previous: request.previousId,
+      kept_turns: state.turns.size,
+      site_time_ms: state.time,
+      repeats,
+    });
+  }
+
+  /** Logs the reason of a refusal by the state, rate-limited per program. */
   logRefusedTurn(request: BeginTurn, code: ResultCode): void {
     const { state, logger } = this.#options;
-    const isFinal = code === RESULT_CODES.BUDGET_EXCEEDED ||
-      code === RESULT_CODES.TURN_NOT_FOUND;
-    if (!isFinal) return;
+    const message = REFUSAL_MESSAGES.get(code);
+    if (message === undefined) return;
     const repeats = this.#refusalLogLimit.take(
       `${code.name} ${request.programId}`,
       performance.now(),
@@ -183,7 +218,7 @@
     if (repeats === undefined) return;
     if (code === RESULT_CODES.BUDGET_EXCEEDED) {
       const use = state.budgets.describe(request.programId);
-      return logger.info("Budget spent", {
+      return logger.info(message, {
         call: request.turnId,
         program: request.programId,
         budget: request.tokenBudget,
@@ -193,11 +228,12 @@
         repeats,
       });
     }
-    logger.info("Previous turn not found", {
+    logger.info(message, {
       call: request.turnId,
       program: request.programId,
       previous: request.previousId,
       kept_turns: state.turns.size,
+      site_time_ms: state.time,
       repeats,
     });
   }
--- a/packages/store/src/site_owner.ts
+++ b/packages/store/src/site_owner.ts
@@ -150,19 +150,28 @@
     const command = { kind: "begin", at, ...reserve } as const;
     const result = await this.#propose(command, signal);
     if (result.err) {
+      const { code } = result.val;
       this.#turns.end(request.turnId, undefined);
-      this.#gate.logRefusedTurn(request, result.val.code);
+      if (code === RESULT_CODES.HISTORY_INCOMPLETE) {
+        return this.#gate.refuseIncomplete(request);
+      }
+      this.#gate.logRefusedTurn(request, code);
       return result;
     }
     this.#turns.recordBegun(request);
     const placed = await entered.val;
     if (placed.err) return placed;
     const { turns } = this.#options.state;
+    const missing = turns.listChain(missingFrom, new Set(knownTurns));
+    const historyBytes = turns.measureChain(request.previousId);
+    if (missing === undefined || historyBytes === undefined) {
+      this.#turns.end(request.turnId, undefined);
+      return this.#gate.refuseIncomplete(request);
+    }
     return Ok({
       ...(placed.val === "" ? {} : { upstream: placed.val }),
-      turns: missingFrom === ""
-        ? []
-        : turns.listChain(missingFrom, new Set(knownTurns)),
+      turns: missing,
+      historyBytes,
       latestUpstream: this.#latestUpstreams.find(request.programId),
       ...(result.val.isCharged === true ? { isCharged: true } : {}),
     });
@@ -182,7 +191,10 @@
     const at = this.#getSiteTime();
     const command = { kind: "end", at, ...settlement } as const;
     const result = await this.#propose(command, signal);
-    if (result.err) return result;
+    if (result.err) {
+      this.#gate.recordRefusedEnd(request, result.val.code);
+      return result;
+    }
     const permits = result.val.grants?.[0]?.granted;
     if (request.charge !== undefined) {
       this.#turns.recordCharged(request.charge, permits ?? 0);
