A gateway runs a turn only with a history that is checked to be whole

Cause: nothing where the prompt is joined could tell a chain that ends at its first turn from one that is cut off; and a gateway's cache was never compared with what the stores keep, so that one program could get two histories, by the gateway that it met.

The gateway joins a history, cached or fetched, only if it leads without a gap from a turn that continues none to the named one and has that length; a cached one that differs is dropped and fetched once, a fetched one refused with 503 and its reservation settled. Stores of earlier releases tell no length; the links are checked in any case. Each mismatch is logged with both lengths and counted.

Weighed: a digest of the chain would also find another content of the same length, for which a request id must have been used twice; it would cost a hash of each turn at gateways and at the leader. Not measured.

--- a/packages/gateway/src/calls/run_turn.ts
+++ b/packages/gateway/src/calls/run_turn.ts
@@ -7,6 +7,7 @@
   type BeginTurnReply,
   type CodedError,
   countRefusal,
+  countRetry,
   type EndTurn,
   type Outcome,
   RESULT_CODES,
@@ -23,6 +24,7 @@
 import { sendCall } from "./send_call.ts";
 import { findPrecedence } from "./request_precedence.ts";
 import type { TurnCache } from "./turn_cache.ts";
+import { fetchHistory, type HistoryMismatch } from "./turn_history.ts";
 import { TurnObserver } from "./turn_observer.ts";
 import {
   recordFullOutput,
@@ -135,37 +137,43 @@
   call: OpenCall,
   parts: TurnDependencies,
 ): Promise<Outcome<BegunTurn>> {
-  const { cache } = parts;
-  const { programId, previousId } = findTurnIds(call);
-  const requestedAt = performance.now();
-  const begun = await requestBegin(call, parts, {
-    missingFrom: cache.findMissingTurnId(previousId),
-    knownTurns: cache.listCompleteTurnIds(programId),
-  });
-  if (begun.err) return begun;
-  const {
-    turns,
-    latestUpstream = "",
-    upstream: placedUpstream = "",
-    isCharged,
-  } = begun.val;
-  // A retry inside the client may be what was answered, so the permit's
-  // validity counts from the first request.
-  if (isCharged === true) parts.sendGate.grantPermit(call, requestedAt);
-  for (const turn of turns) cache.put(turn, programId);
-  const chain = cache.listChain(previousId);
-  if (chain !== undefined) return Ok({ chain, latestUpstream, placedUpstream });
-  // Cached turns may have been evicted during the request. A history that is
-  // too large for the cache is used as it was fetched.
-  const full = await requestBegin(call, parts, {
-    missingFrom: previousId,
-    knownTurns: [],
+  const fetched = await fetchHistory(findTurnIds(call), {
+    cache: parts.cache,
+    begin: async (cached) => {
+      const requestedAt = performance.now();
+      const begun = await requestBegin(call, parts, cached);
+      // A retry inside the client may be what was answered, so the permit's
+      // validity counts from the first request.
+      if (begun.ok && begun.val.isCharged === true) {
+        parts.sendGate.grantPermit(call, requestedAt);
+      }
+      return begun;
+    },
+    onMismatch: (mismatch) => recordMismatch(call, parts, mismatch),
   });
-  if (full.err) return full;
-  return Ok({
-    chain: full.val.turns.toReversed(),
-    latestUpstream,
-    placedUpstream,
+  if (fetched.err) return fetched;
+  const { chain, reply } = fetched.val;
+  const { latestUpstream = "", upstream: placedUpstream = "" } = reply;
+  return Ok({ chain, latestUpstream, placedUpstream });
+}
+
+/** Logs and counts a history that differs from the one that the stores keep. */
+function recordMismatch(
+  call: OpenCall,
+  parts: TurnDependencies,
+  mismatch: HistoryMismatch,
+): void {
+  const { facts } = call.parts;
+  countRetry(parts.metrics, "turns", RESULT_CODES.HISTORY_INCOMPLETE);
+  parts.logger.warn("History differs from that of the stores", {
+    call: facts.callId,
+    program: facts.programId,
+    previous: facts.previousTurnId,
+    leader: parts.client.leader ?? "",
+    is_cached: mismatch.isCached,
+    turns: mismatch.turns,
+    bytes: mismatch.bytes,
+    expected_bytes: mismatch.expectedBytes ?? -1,
   });
 }
 
@@ -214,9 +222,12 @@
   if (code === RESULT_CODES.LEADER_BUSY) {
     return refuseOverload(call, parts, error);
   }
-  if (code === RESULT_CODES.QUEUE_FULL) {
+  if (
+    code === RESULT_CODES.QUEUE_FULL ||
+    code === RESULT_CODES.HISTORY_INCOMPLETE
+  ) {
     countRefusal(parts.metrics, "turns", code);
-    // The turn may have waited for a slot with its tokens reserved.
+    // The tokens may have been reserved before the turn was refused.
     settleTurn(call, parts, { events: 0 });
     return failCall(call, parts, { error, notRun: true });
   }
--- a/packages/gateway/src/calls/turn_cache.ts
+++ b/packages/gateway/src/calls/turn_cache.ts
@@ -84,6 +84,17 @@
     return chain.reverse();
   }
 
+  /** Drops a turn and all turns before it. */
+  dropChain(turnId: string): void {
+    let next = turnId;
+    while (next !== "") {
+      const cached = this.#turns.get(next);
+      if (cached === undefined) return;
+      this.#evict(next, cached);
+      next = cached.turn.previousId;
+    }
+  }
+
   #evict(turnId: string, cached: CachedTurn): void {
     this.#turns.delete(turnId);
     this.#bytes -= measureBytes(cached.turn);
@@ -109,8 +120,13 @@
   chain: readonly TurnRecord[],
   input: Buffer,
 ): number {
-  let length = input.length;
-  for (const turn of chain) length += turn.input.length + turn.output.length;
+  return measureTurns(chain) + input.length;
+}
+
+/** Length of the inputs and outputs of turns, bytes. */
+export function measureTurns(turns: readonly TurnRecord[]): number {
+  let length = 0;
+  for (const turn of turns) length += turn.input.length + turn.output.length;
   return length;
 }
 
