A budget is kept for as long as the turns of its program

Cause: a budget was dropped ten minutes after the last begin or end of its program, whatever the retention of the turns it had ended and the time for which its open turns could still run.

Change: the begin and the end of a turn also tell the budget how long the turn may be open or is kept; an idle budget is dropped only after that.

Not covered: a turn that a program of another name continues is kept for longer than the budget of the program that began it.

--- a/packages/sessions/src/budgets.ts
+++ b/packages/sessions/src/budgets.ts
@@ -3,9 +3,9 @@
 import type { TurnReservation } from "@mallowlift/core";
 
 /**
- * Time without a turn after which the budget of a program is dropped, ms. A
- * stopped program must not get a fresh budget while any of its turns may still
- * be kept; ten minutes is far above usual retention times.
+ * Time without a turn after which the budget of a program is dropped, ms, unless a
+ * turn of it is kept or may be open for longer: a stopped program must not get a
+ * fresh budget when it continues one of its turns.
  */
 const IDLE_RETENTION_MILLISECONDS = 600_000;
 
@@ -16,6 +16,8 @@
   /** Ids of settled turns, so that a delayed duplicate reserves nothing. */
   readonly settled: Set<string>;
   usedAt: number;
+  /** Site time until which a turn is kept or may be open, ms. */
+  retainedUntil: number;
 }
 
 /** What a program has used of its budget, in tokens. */
@@ -33,6 +35,8 @@
   readonly reserved: readonly (readonly [string, number])[];
   readonly settled: readonly string[];
   readonly usedAt: number;
+  /** Missing in earlier releases. */
+  readonly retainedUntil?: number;
 }
 
 /** Tracks the spent and reserved tokens of each program. */
@@ -74,6 +78,13 @@
     program.spent += tokens;
   }
 
+  /** Keeps the budget of a program, if it has one, at least until a site time, ms. */
+  retain(programId: string, until: number): void {
+    const program = this.#programs.get(programId);
+    if (program === undefined) return;
+    program.retainedUntil = Math.max(program.retainedUntil, until);
+  }
+
   /** True if a program has begun a turn. */
   has(programId: string): boolean {
     return this.#programs.has(programId);
@@ -112,10 +123,14 @@
     };
   }
 
-  /** Drops programs that have been idle for {@linkcode IDLE_RETENTION_MILLISECONDS}. */
+  /**
+   * Drops programs that have been idle for {@linkcode IDLE_RETENTION_MILLISECONDS} and
+   * are not retained.
+   */
   sweep(at: number): void {
     for (const [programId, program] of this.#programs) {
-      if (at - program.usedAt > IDLE_RETENTION_MILLISECONDS) {
+      const isIdle = at - program.usedAt > IDLE_RETENTION_MILLISECONDS;
+      if (isIdle && at > program.retainedUntil) {
         this.#programs.delete(programId);
       }
     }
@@ -131,6 +146,7 @@
         reserved: [...program.reserved],
         settled: [...program.settled],
         usedAt: program.usedAt,
+        retainedUntil: program.retainedUntil,
       });
     }
     return stored;
@@ -145,6 +161,7 @@
         reserved: new Map(program.reserved),
         settled: new Set(program.settled),
         usedAt: program.usedAt,
+        retainedUntil: program.retainedUntil ?? 0,
       });
     }
   }
@@ -160,6 +177,7 @@
       reserved: new Map(),
       settled: new Set(),
       usedAt: at,
+      retainedUntil: 0,
     };
     this.#programs.set(programId, program);
     return program;
--- a/packages/sessions/src/site_state.ts
+++ b/packages/sessions/src/site_state.ts
@@ -160,7 +160,7 @@
     }
     // The quota was charged when the turn was first begun.
     if (this.budgets.hasReserved(programId, turnId)) {
-      this.#holdHistory(command);
+      this.#holdTurn(command);
       return { code: "OK" };
     }
     const wait = quota === undefined
@@ -172,16 +172,18 @@
     const isReserved = programId === "" ||
       this.budgets.reserve(command, command.at);
     if (!isReserved) return { code: "BUDGET_EXCEEDED" };
-    this.#holdHistory(command);
+    this.#holdTurn(command);
     if (quota === undefined) return { code: "OK" };
     this.quotas.charge({ ...quota, needed: 1, spare: 0 }, this.#time);
     return { code: "OK", isCharged: true };
   }
 
-  /** Keeps the history of a turn while the turn may be open. */
-  #holdHistory({ previousId, openMilliseconds = 0 }: BeginCommand): void {
+  /** Keeps the history and the budget of a turn while the turn may be open. */
+  #holdTurn(command: BeginCommand): void {
+    const { programId, previousId, openMilliseconds = 0 } = command;
     const until = this.#time + openMilliseconds + RETENTION_GRACE_MILLISECONDS;
     this.turns.extendRetention(previousId, until);
+    this.budgets.retain(programId, until);
   }
 
   /** True if the history of a turn is kept while the turn may be open. */
@@ -208,6 +210,7 @@
       const retentionMilliseconds = command.retentionMilliseconds +
         RETENTION_GRACE_MILLISECONDS;
       const turn = { ...command, retentionMilliseconds };
+      this.budgets.retain(turn.programId, command.at + retentionMilliseconds);
       const isWhole = this.turns.keep(turn, command.at);
       if (!isWhole) return { code: "HISTORY_INCOMPLETE" };
     }
--- a/packages/sessions/src/turn_history_test.ts
+++ b/packages/sessions/src/turn_history_test.ts
@@ -169,6 +169,31 @@
   t.end();
 });
 
+// Guards against a program that returns to one of its turns with a fresh budget.
+test("a budget lasts as long as the turns of its program", (t) => {
+  const state = new SiteState();
+  const limited = { tokenBudget: 10, mostTokens: 10 };
+  const day = 86_400_000;
+  const long = { retentionMilliseconds: day };
+  state.apply(begin("a", limited));
+  state.apply(end("a", { ...long, tokens: 6 }));
+  passTime(state, day / 2);
+  const second = begin("b", { ...limited, previousId: "a", at: day / 2 });
+  state.apply({ ...second, openMilliseconds: day });
+  passTime(state, day);
+  t.equal(state.budgets.describe("p").spent, 6, "while the turn is kept");
+  const third = begin("c", { ...limited, at: day });
+  t.equal(state.apply(third).code, "BUDGET_EXCEEDED", "while a turn is open");
+  const copy = copyState(state);
+  for (const each of [state, copy]) {
+    passTime(each, 1.4 * day);
+    t.equal(each.budgets.describe("p").reserved, 10);
+    passTime(each, 3 * day);
+    t.notOk(each.budgets.has("p"), "both have ended");
+  }
+  t.end();
+});
+
 const step = fc.record({
   /** Which of the turns known so far is continued; 0 for none. */
   previous: fc.nat(7),
