A turn is kept for the retention in force when it ends

Cause: the end of a turn took the retention of the document by which its request was routed, up to the whole time-out before.

Change: the gateway takes the longer one of that and of the retention that the place of the route has in the newest document when the turn ends. A route that keeps no history any more doesn't shorten what was promised.

--- a/packages/bench/src/gateways/long_turns_test.ts
+++ b/packages/bench/src/gateways/long_turns_test.ts
@@ -1,4 +1,4 @@
-import { sleep } from "@mallowlift/core";
+import { type RoutingDocument, sleep } from "@mallowlift/core";
 import { describeOutput } from "@mallowlift/mocks";
 import { type Test, test } from "tap";
 import { startTestSite, type TestSite } from "./start_test_site.ts";
@@ -13,14 +13,20 @@
 const DISRUPTED_AFTER_MILLISECONDS = 4_000;
 const GATEWAYS = 3;
 
-const DOCUMENT = {
-  ...TEST_DOCUMENT,
-  routes: TEST_DOCUMENT.routes.map((route) => ({
+/** Creates a document whose turns are kept for a time, ms. */
+function createDocument(
+  version: number,
+  retentionMilliseconds: number,
+): RoutingDocument {
+  const routes = TEST_DOCUMENT.routes.map((route) => ({
     ...route,
     timeoutMilliseconds: TIMEOUT_MILLISECONDS,
-    retentionMilliseconds: route.keepsHistory ? RETENTION_MILLISECONDS : 0,
-  })),
-};
+    retentionMilliseconds: route.keepsHistory ? retentionMilliseconds : 0,
+  }));
+  return { ...TEST_DOCUMENT, version, routes };
+}
+
+const DOCUMENT = createDocument(1, RETENTION_MILLISECONDS);
 
 /** The prompt of a turn and what the history keeps of it. */
 interface KeptTurn {
@@ -99,3 +105,19 @@
     await site.waitUntilReady();
   });
 });
+
+// Guards against turns that are kept for the retention of a document that has been
+// replaced while they ran.
+test("a turn is kept for the retention that is in force when it ends", async (t) => {
+  const running = await startTestSite(t, { gateways: 2, document: DOCUMENT });
+  const turn = checkTurn(t, running, {
+    id: "first",
+    after: NO_TURN,
+    gateway: 0,
+    workMilliseconds: DISRUPTED_AFTER_MILLISECONDS,
+  });
+  await running.site.putDocument(createDocument(2, TIMEOUT_MILLISECONDS));
+  const first = await turn;
+  await sleep(LONG_MILLISECONDS);
+  await checkTurn(t, running, { id: "second", after: first, gateway: 1 });
+});
--- a/packages/gateway/src/calls/run_turn.ts
+++ b/packages/gateway/src/calls/run_turn.ts
@@ -15,6 +15,7 @@
 } from "@mallowlift/core";
 import { Ok } from "ts-results";
 import type { PermitPool } from "../quotas/permit_pool.ts";
+import type { RouteTable } from "../routing/route_table.ts";
 import type { SiteClient } from "../site/site_client.ts";
 import { findScope, scopeId } from "../workspaces/scoped_id.ts";
 import { describeAbort } from "./describe_abort.ts";
@@ -48,6 +49,8 @@
   readonly permits: PermitPool;
   readonly cache: TurnCache;
   readonly placement: TurnPlacementRequests;
+  /** Returns the routes that are in force now. */
+  readonly getRoutes: () => RouteTable | undefined;
 }
 
 /** What the stores returned for a turn that has begun. */
@@ -296,7 +299,7 @@
     ? undefined
     : parts.permits.planSpare(quota, requestedAt);
   const turn: EndTurn = {
-    ...describeEnd(call, { events: relay.count, upstream, observer }),
+    ...describeEnd(call, parts, { events: relay.count, upstream, observer }),
     whole: true,
     input: body,
     output,
@@ -337,7 +340,7 @@
   },
 ): void {
   const turn: EndTurn = {
-    ...describeEnd(call, details),
+    ...describeEnd(call, parts, details),
     whole: false,
     input: Buffer.alloc(0),
     output: Buffer.alloc(0),
@@ -357,6 +360,7 @@
 
 function describeEnd(
   call: OpenCall,
+  parts: TurnDependencies,
   details: {
     readonly events: number;
     readonly upstream?: string;
@@ -372,7 +376,7 @@
   | "report"
   | "precedence"
 > {
-  const { route, table, service } = call.parts;
+  const { table, service } = call.parts;
   const { events, upstream = "", observer } = details;
   const tokensPerEvent = table.findService(service)?.tokensPerEvent ?? 1;
   const report = observer?.createReport(upstream, tokensPerEvent);
@@ -381,6 +385,14 @@
     ...(report === undefined ? {} : { report }),
     precedence: findPrecedence(call, performance.now()),
     tokens: events * tokensPerEvent,
-    retentionMilliseconds: route.retentionMilliseconds,
+    retentionMilliseconds: findRetention(call, parts),
   };
 }
+
+/** The longer one of the retentions of a turn's route when it began and now, ms. */
+function findRetention(call: OpenCall, parts: TurnDependencies): number {
+  const { host, pathPrefix, retentionMilliseconds } = call.parts.route;
+  const newest = parts.getRoutes()?.find(host, pathPrefix);
+  if (newest?.keepsHistory !== true) return retentionMilliseconds;
+  return Math.max(retentionMilliseconds, newest.retentionMilliseconds);
+}
--- a/packages/gateway/src/gateway_role.ts
+++ b/packages/gateway/src/gateway_role.ts
@@ -195,6 +195,7 @@
       findListAgeMilliseconds: (now) => this.#instanceLists.findAge(now),
       client,
       cache: new TurnCache(gateway.historyBytes),
+      getRoutes: () => this.#follower.routes,
       placement: new TurnPlacementRequests({
         isEnabled: gateway.sitePlacement === "auto",
         gateway: settings.daemon.name,
