An answer with a status that HTTP does not have is a failure

Cause: the pattern of a status line took any three digits that don't begin with 0; the sidecar's reader had a lower bound and no upper one.

Instance lists and the command line take 200 alone, or 2xx, and needed no change.

--- a/packages/gateway/src/upstreams/head_lines.ts
+++ b/packages/gateway/src/upstreams/head_lines.ts
@@ -5,7 +5,7 @@
 
 import type { Buffer } from "node:buffer";
 
-const STATUS_LINE_PATTERN = /^HTTP\/1\.[01] [1-9]\d\d(?: .*)?$/;
+const STATUS_LINE_PATTERN = /^HTTP\/1\.[01] [1-5]\d\d(?: .*)?$/;
 const HEADER_PATTERN = /^[!#$%&'*+\-.^_`|~0-9A-Za-z]+:/;
 const CARRIAGE_RETURN = 0x0d;
 const TAB = 0x09;
--- a/packages/sidecar/src/upstream/http_client.ts
+++ b/packages/sidecar/src/upstream/http_client.ts
@@ -18,6 +18,7 @@
 const OVERHEAD_BYTES = 131_072;
 const OVERHEAD_PER_BODY_BYTE = 2;
 const FIRST_FINAL_STATUS = 200;
+const LAST_STATUS = 599;
 const RESPONSE_START = "HTTP/1.";
 
 /** An HTTP response with its complete body. */
@@ -191,7 +192,9 @@
  */
 function findHeadProblem(response: IncomingMessage): string | undefined {
   const { statusCode = 0, headers } = response;
-  if (statusCode < FIRST_FINAL_STATUS) return "The status is invalid";
+  if (statusCode < FIRST_FINAL_STATUS || statusCode > LAST_STATUS) {
+    return "The status is invalid";
+  }
   const coding = headers["transfer-encoding"];
   if (coding === undefined || coding.toLowerCase() === "chunked") {
     return undefined;
