An answer that begins like an interim one is refused at once

Cause: the head is taken for an interim answer, and its length was still used to skip a body. What followed was the beginning of a status line, of which only whole lines were checked, and whole lines need not come.

Evidence: the new test of cut_heads_test leaves the connection open.

Change: an interim answer has no body (RFC 9110, section 15.2): one with a length or a coding is refused, and what follows the head must begin an answer from its first byte. 101 is refused, since nobody asks for another protocol. The same check ends bytes without a line end that begin no answer.

--- a/packages/bench/src/gateways/cut_heads_test.ts
+++ b/packages/bench/src/gateways/cut_heads_test.ts
@@ -72,6 +72,28 @@
   t.ok(site.gateways[0]?.process.isRunning);
 });
 
+const IMPOSSIBLE_STATUS_KINDS = CUT_HEAD_KINDS.filter((kind) =>
+  /^(status|switching|interim)_/.test(kind)
+);
+
+// Guards against an answer that is waited for until the time of its call is up: its
+// status is that of an interim answer, and what follows its head begins no other one.
+test("an answer with an impossible status is refused while its connection is open", async (t) => {
+  const { script, url } = await startUnrulySite(t, { upstreams: UPSTREAMS });
+  for (const kind of IMPOSSIBLE_STATUS_KINDS) {
+    const calls = ROUTES.map(async ({ path, type }) => {
+      const callId = `${kind}${path}`;
+      const step = createStep(kind, { resets: false, type });
+      const open = { ...step, staysOpen: true };
+      script.plan(callId, [open, open]);
+      const { status, whole } = await callGateway(url, { callId, path });
+      t.equal(status, BAD_GATEWAY, callId);
+      t.ok(whole, callId);
+    });
+    await Promise.all(calls);
+  }
+});
+
 // Guards against a call that may be repeated and gets the failure of one upstream although
 // others would answer it.
 test("a call that may be repeated is answered by another upstream", async (t) => {
--- a/packages/gateway/src/upstreams/answer_parser.ts
+++ b/packages/gateway/src/upstreams/answer_parser.ts
@@ -15,10 +15,13 @@
 import {
   checkHeadLines,
   type LineSource,
+  mayBecomeStatusLine,
   mayBeginAnswer,
 } from "./head_lines.ts";
 
 const LENGTH_PATTERN = /^\d{1,15}$/;
+const FIRST_FINAL_STATUS = 200;
+const SWITCHING_PROTOCOLS = 101;
 /** Longest line of a chunk's head or of the trailers, bytes. */
 const MAX_LINE_BYTES = 16_384;
 /** Largest size of the trailers, which are skipped, bytes. */
@@ -116,8 +119,11 @@
     parser[HTTPParser.kOnHeadersComplete] = (info) => {
       const headers = info.headers;
       this.#isInAnswer = true;
-      this.#isInformational = info.statusCode < 200;
-      if (this.#isInformational) return 0;
+      this.#isInformational = info.statusCode < FIRST_FINAL_STATUS;
+      if (this.#isInformational) {
+        this.#framingError ??= findInterimError(info.statusCode, headers);
+        return 1;
+      }
       this.#isReusable = info.shouldKeepAlive;
       this.#framingError ??= findFramingError(headers);
       // Without valid framing, the bytes may belong to several answers, so
@@ -162,7 +168,16 @@
     if (parsed instanceof Error) return parsed.message;
     // The library counts the whole part that ends an answer as a head.
     if (!this.#isInAnswer && !this.isInHead) this.#lines.headerSize = 0;
-    return this.#framingError ?? this.#findExcess();
+    return this.#framingError ?? this.#findForeignLine() ?? this.#findExcess();
+  }
+
+  /** Returns a message if the beginning of a status line is that of no answer. */
+  #findForeignLine(): string | undefined {
+    const { state, line } = this.#lines;
+    if (state !== "RESPONSE_LINE" || mayBecomeStatusLine(line)) {
+      return undefined;
+    }
+    return "The bytes begin no answer";
   }
 
   /**
@@ -222,6 +237,22 @@
   return undefined;
 }
 
+/**
+ * Checks an interim answer, which has no body (RFC 9110, section 15.2). No request asks
+ * for another protocol.
+ */
+function findInterimError(
+  status: number,
+  headers: readonly string[],
+): string | undefined {
+  if (status === SWITCHING_PROTOCOLS) {
+    return "The upstream switches to another protocol";
+  }
+  const isFramed = findHeader(headers, "content-length") !== undefined ||
+    findHeader(headers, "transfer-encoding") !== undefined;
+  return isFramed ? "An interim answer has a body" : undefined;
+}
+
 function countHeaders(headers: readonly string[], name: string): number {
   let count = 0;
   for (let index = 0; index < headers.length; index += 2) {
--- a/packages/gateway/src/upstreams/head_lines.ts
+++ b/packages/gateway/src/upstreams/head_lines.ts
@@ -93,3 +93,9 @@
   const begun = bytes.toString("latin1", start, start + ANSWER_START.length);
   return ANSWER_START.startsWith(begun);
 }
+
+/** True if a line whose rest has not arrived may become a status line. */
+export function mayBecomeStatusLine(begun: string): boolean {
+  const start = begun.slice(0, ANSWER_START.length);
+  return begun === "\r" || ANSWER_START.startsWith(start);
+}
--- a/packages/gateway/src/upstreams/head_lines_test.ts
+++ b/packages/gateway/src/upstreams/head_lines_test.ts
@@ -79,6 +79,48 @@
   t.end();
 });
 
+/** Parses a text in parts of a size; returns what is wrong with it, if anything. */
+function findFailure(text: string, partBytes: number): string | undefined {
+  const parser = new AnswerParser({
+    onHead: () => undefined,
+    onBody: () => undefined,
+    onComplete: () => undefined,
+  });
+  const bytes = Buffer.from(text);
+  for (let start = 0; start < bytes.length; start += partBytes) {
+    const failure = parser.push(bytes.subarray(start, start + partBytes));
+    if (failure !== undefined) return failure;
+  }
+  return undefined;
+}
+
+// Guards against an answer that is waited for until its time is up: its status is that
+// of an interim answer, and what follows its head begins no other one.
+test("an interim answer with a body is invalid as soon as it can be known", (t) => {
+  const texts = [
+    writeAnswer(["HTTP/1.1 199 OK", LENGTH]),
+    writeAnswer(["HTTP/1.1 199 OK", "Transfer-Encoding: chunked"]),
+    writeAnswer(["HTTP/1.1 199 OK"]),
+    writeAnswer(["HTTP/1.1 101 Switching Protocols", "x: 1"]),
+    writeAnswer(["HTTP/1.1 101 OK", "Upgrade: x", "Connection: upgrade"]),
+    "four",
+    "HTTP 1.1",
+  ];
+  for (const text of texts) {
+    for (const partBytes of PART_BYTES) {
+      const failure = findFailure(text, partBytes);
+      t.ok(failure !== undefined, JSON.stringify({ text, partBytes }));
+    }
+  }
+  const interim =
+    "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 OK\r\nx: 1\r\n\r\n";
+  for (const partBytes of PART_BYTES) {
+    t.equal(findFailure(interim, partBytes), undefined);
+    t.ok(isTaken(interim + writeAnswer([OK, LENGTH]), partBytes));
+  }
+  t.end();
+});
+
 // Guards against a Content-Length that has lost digits.
 test("a body that is followed by bytes of no answer is longer than its length", (t) => {
   const text = writeAnswer([OK, LENGTH]);
--- a/packages/mocks/src/opaque/unruly_upstream.ts
+++ b/packages/mocks/src/opaque/unruly_upstream.ts
@@ -36,6 +36,8 @@
   readonly head?: CutHeadKind;
   /** True to end that connection with a reset. */
   readonly resets?: boolean;
+  /** True to leave that connection open. */
+  readonly staysOpen?: boolean;
   /** Type of that answer; text/plain by default. */
   readonly type?: string;
 }
@@ -231,11 +233,12 @@
     socket.write(bytes);
   }
 
-  /** Sends an answer whose head has lost bytes, and ends the connection. */
+  /** Sends an answer whose head has lost bytes, and mostly ends the connection. */
   #sendCutHead(socket: Socket, callId: string, step: UnrulyStep): void {
     if (step.head === undefined) return;
     const { type = "text/plain", head, resets = false } = step;
     const text = CUT_HEADS[head].write(callId, `Content-Type: ${type}`);
+    if (step.staysOpen === true) return void socket.write(text);
     if (!resets) return void socket.end(text);
     if (text !== "") socket.write(text);
     socket.resetAndDestroy();
--- a/packages/sidecar/src/upstream/unruly_upstreams_test.ts
+++ b/packages/sidecar/src/upstream/unruly_upstreams_test.ts
@@ -189,6 +189,25 @@
   }
 });
 
+// Guards against an answer that is passed on with a status that HTTP does not have, or
+// is waited for until its time is up.
+test("an answer with an impossible status is a failure while its connection is open", async (t) => {
+  const kinds = CUT_HEAD_KINDS.filter((kind) =>
+    /^(status|switching|interim)_/.test(kind)
+  );
+  for (const kind of kinds) {
+    const { url } = await serve(t, (socket) => {
+      socket.write(CUT_HEADS[kind].write("c", "Content-Type: text/plain"));
+    });
+    const service = new ServiceClient(url, SILENT_MILLISECONDS);
+    const served = await service.run(createRun(createServiceCall("o")));
+    t.ok(served.err, `${kind}: ${JSON.stringify(served)}`);
+    const engine = createEngine(url);
+    t.ok((await engine.run(createRun(MODEL_CALL))).err, kind);
+    t.notOk(await isRead(engine.readCacheChanges()), kind);
+  }
+});
+
 /** True unless a report fails. */
 async function isRead(report: Promise<unknown>): Promise<boolean> {
   return await report.then(() => true, () => false);
