A program keeps its turns and its budget when workspaces come or go

Cause: turns and programs are known to the stores by ids that begin with the name of their workspace, but only while the document in force has any. The same program has another id after such a change, in both directions.

Change: what is not found by its id is looked up by the id it had before: for a workspace, the one without a scope; without workspaces, the one of the only workspace that has it. Gateways get histories with ids of their caller's scope.

Not covered: a workspace that gets another name, and a program that uses a public route without a key and another one with it, are two owners.

--- a/packages/bench/src/gateways/workspaces_test.ts
+++ b/packages/bench/src/gateways/workspaces_test.ts
@@ -1,4 +1,5 @@
 import { hashText, type RoutingDocument, sleep } from "@mallowlift/core";
+import { describeOutput } from "@mallowlift/mocks";
 import { test } from "tap";
 import { callGateway, type CallResult } from "./gateway_caller.ts";
 import { startTestSite, type TestSite } from "./start_test_site.ts";
@@ -9,6 +10,8 @@
   revocation_milliseconds: REVOCATION_MILLISECONDS,
 };
 const QUOTA_WINDOW_SECONDS = 2;
+/** Time in which all gateways have a new document, ms. */
+const SETTLE_MILLISECONDS = 500;
 
 /** Creates a document with two workspaces. A key is the workspace name and a number. */
 function createDocument(
@@ -258,3 +261,38 @@
       timeoutMilliseconds - outageMilliseconds,
   );
 });
+
+// Guards against a stopped program that gets its whole budget again, and turns that are
+// not found, after a routing document that gains or loses workspaces.
+test("a program goes on when the site gains workspaces, and when it loses them", async (t) => {
+  const running = await startTestSite(t, { gateways: 2 });
+  const callTurn = (turn: WorkspaceCall & { readonly previous?: string }) =>
+    sendCall(running, {
+      ...turn,
+      path: "/stream/x",
+      headers: {
+        "x-program": "p",
+        "x-most-tokens": "6",
+        "x-token-budget": "18",
+        ...(turn.previous === undefined
+          ? {}
+          : { "x-previous-turn": turn.previous }),
+      },
+    });
+  t.equal((await callTurn({ id: "a" })).status, 200);
+  await running.site.putDocument(createDocument(2));
+  await sleep(SETTLE_MILLISECONDS);
+  const own = { key: "north-1", gateway: 1 };
+  t.equal((await callTurn({ ...own, id: "b", previous: "a" })).status, 200);
+  const prompt = `b${describeOutput("b", 3)}b`;
+  t.equal(findRun(running, "b")?.body, prompt);
+  const other = { key: "south-1", previous: "a" };
+  t.equal((await callTurn({ ...other, id: "c" })).status, 404);
+  await running.site.putDocument({ ...TEST_DOCUMENT, version: 3 });
+  await sleep(SETTLE_MILLISECONDS);
+  t.equal((await callTurn({ id: "d", previous: "b" })).status, 200);
+  const whole = `${prompt}${describeOutput(prompt, 3)}b`;
+  t.equal(findRun(running, "d")?.body, whole);
+  t.equal((await callTurn({ id: "e", previous: "d" })).status, 402);
+  t.equal(findRun(running, "e"), undefined);
+});
--- a/packages/core/src/mod.ts
+++ b/packages/core/src/mod.ts
@@ -11,6 +11,7 @@
 export * from "./shared/wake_signal.ts";
 export * from "./shared/digest.ts";
 export * from "./shared/program_ids.ts";
+export * from "./shared/scoped_id.ts";
 export * from "./shared/token_estimate.ts";
 export * from "./settings/fields.ts";
 export * from "./settings/schema.ts";
--- a/packages/gateway/src/calls/call_queue.ts
+++ b/packages/gateway/src/calls/call_queue.ts
@@ -10,6 +10,7 @@
   countRefusal,
   type Metrics,
   RESULT_CODES,
+  scopeId,
 } from "@mallowlift/core";
 import {
   findRequestOrder,
@@ -22,7 +23,7 @@
 import { LoadMeter } from "../load_meter.ts";
 import { KnownPrograms } from "./known_programs.ts";
 import type { OpenCall } from "./open_call.ts";
-import { findScope, scopeId } from "../workspaces/scoped_id.ts";
+import { findScope } from "../workspaces/scoped_id.ts";
 import { findPrecedence } from "./request_precedence.ts";
 
 /**
--- a/packages/gateway/src/calls/run_turn.ts
+++ b/packages/gateway/src/calls/run_turn.ts
@@ -11,13 +11,14 @@
   type EndTurn,
   type Outcome,
   RESULT_CODES,
+  scopeId,
   type TurnRecord,
 } from "@mallowlift/core";
 import { Ok } from "ts-results";
 import type { PermitPool } from "../quotas/permit_pool.ts";
 import type { RouteTable } from "../routing/route_table.ts";
 import type { SiteClient } from "../site/site_client.ts";
-import { findScope, scopeId } from "../workspaces/scoped_id.ts";
+import { findScope } from "../workspaces/scoped_id.ts";
 import { describeAbort } from "./describe_abort.ts";
 import { EventRelay } from "./event_relay.ts";
 import type { OpenCall } from "./open_call.ts";
--- a/packages/gateway/src/workspaces/scoped_id.ts
+++ b/packages/gateway/src/workspaces/scoped_id.ts
@@ -1,9 +1,10 @@
 /** Scopes the ids of turns and programs to their workspace. */
 
-import type { RoutingDocument, Workspace } from "@mallowlift/core";
-
-/** Cannot occur in an id or a name, because a header value cannot contain it. */
-const SEPARATOR = "\0";
+import {
+  type RoutingDocument,
+  SCOPE_SEPARATOR,
+  type Workspace,
+} from "@mallowlift/core";
 
 /**
  * The prefix for the ids of a caller; empty on a site without workspaces.
@@ -20,12 +21,7 @@
   workspace: Workspace | undefined,
 ): string {
   if (!hasWorkspaces(document)) return "";
-  return `${workspace?.name ?? ""}${SEPARATOR}`;
-}
-
-/** Prefixes an id with a scope; an empty id refers to nothing and stays empty. */
-export function scopeId(scope: string, id: string): string {
-  return id === "" ? "" : `${scope}${id}`;
+  return `${workspace?.name ?? ""}${SCOPE_SEPARATOR}`;
 }
 
 /**
--- a/packages/gateway/src/workspaces/scoped_id_test.ts
+++ b/packages/gateway/src/workspaces/scoped_id_test.ts
@@ -1,6 +1,10 @@
-import type { RoutingDocument, Workspace } from "@mallowlift/core";
+import {
+  type RoutingDocument,
+  scopeId,
+  type Workspace,
+} from "@mallowlift/core";
 import { test } from "tap";
-import { findScope, scopeId } from "./scoped_id.ts";
+import { findScope } from "./scoped_id.ts";
 
 const NORTH = { name: "north", keyDigests: [] } as unknown as Workspace;
 const WITH_WORKSPACES = { workspaces: [NORTH] } as unknown as RoutingDocument;
--- a/packages/sessions/src/budgets.ts
+++ b/packages/sessions/src/budgets.ts
@@ -1,6 +1,7 @@
 /** Token budgets of programs; the first turn of a program creates its budget. */
 
-import type { TurnReservation } from "@mallowlift/core";
+import { hasScope, type TurnReservation } from "@mallowlift/core";
+import { FormerIds } from "./former_ids.ts";
 
 /**
  * Time without a turn after which the budget of a program is dropped, ms, unless a
@@ -42,6 +43,7 @@
 /** Tracks the spent and reserved tokens of each program. */
 export class Budgets {
   readonly #programs = new Map<string, ProgramBudget>();
+  readonly #formerIds = new FormerIds(this.#programs);
 
   /** Number of programs with a budget. */
   get size(): number {
@@ -80,26 +82,26 @@
 
   /** Keeps the budget of a program, if it has one, at least until a site time, ms. */
   retain(programId: string, until: number): void {
-    const program = this.#programs.get(programId);
+    const program = this.#find(programId);
     if (program === undefined) return;
     program.retainedUntil = Math.max(program.retainedUntil, until);
   }
 
   /** True if a program has begun a turn. */
   has(programId: string): boolean {
-    return this.#programs.has(programId);
+    return this.#find(programId) !== undefined;
   }
 
   /** True if a turn has a reservation or is settled. */
   hasReserved(programId: string, turnId: string): boolean {
-    const program = this.#programs.get(programId);
+    const program = this.#find(programId);
     return program !== undefined &&
       (program.reserved.has(turnId) || program.settled.has(turnId));
   }
 
   /** True if a turn is settled. */
   hasSettled(programId: string, turnId: string): boolean {
-    return this.#programs.get(programId)?.settled.has(turnId) === true;
+    return this.#find(programId)?.settled.has(turnId) === true;
   }
 
   /**
@@ -107,13 +109,13 @@
    * turn will be refused. Reserved tokens can still come free.
    */
   isSpent(programId: string, tokenBudget: number): boolean {
-    const spent = this.#programs.get(programId)?.spent ?? 0;
+    const spent = this.#find(programId)?.spent ?? 0;
     return tokenBudget >= 0 && spent > 0 && spent >= tokenBudget;
   }
 
   /** Returns the usage of a program; all zero if the program is unknown. */
   describe(programId: string): BudgetUse {
-    const program = this.#programs.get(programId);
+    const program = this.#find(programId);
     if (program === undefined) return { spent: 0, reserved: 0, openTurns: 0 };
     const { spent, reserved } = program;
     return {
@@ -155,8 +157,9 @@
   /** Replaces all budgets by those of a snapshot. */
   restore(stored: readonly StoredBudget[]): void {
     this.#programs.clear();
+    this.#formerIds.clear();
     for (const program of stored) {
-      this.#programs.set(program.programId, {
+      this.#set(program.programId, {
         spent: program.spent,
         reserved: new Map(program.reserved),
         settled: new Set(program.settled),
@@ -166,8 +169,17 @@
     }
   }
 
+  /** Finds a budget, also by the id that its program has since workspaces came or went. */
+  #find(programId: string): ProgramBudget | undefined {
+    const program = this.#programs.get(programId);
+    if (program !== undefined) return program;
+    const formerId = this.#formerIds.find(programId);
+    return formerId === undefined ? undefined : this.#programs.get(formerId);
+  }
+
   #get(programId: string, at: number): ProgramBudget {
-    const known = this.#programs.get(programId);
+    this.#adopt(programId);
+    const known = this.#find(programId);
     if (known !== undefined) {
       known.usedAt = Math.max(known.usedAt, at);
       return known;
@@ -179,9 +191,29 @@
       usedAt: at,
       retainedUntil: 0,
     };
-    this.#programs.set(programId, program);
+    this.#set(programId, program);
     return program;
   }
+
+  /** Gives a budget of the time without workspaces to the first one that goes on with it. */
+  #adopt(programId: string): void {
+    if (!hasScope(programId) || this.#programs.has(programId)) return;
+    const formerId = this.#formerIds.find(programId);
+    const program = this.#programs.get(formerId ?? "");
+    if (formerId === undefined || program === undefined) return;
+    this.#delete(formerId);
+    this.#set(programId, program);
+  }
+
+  #set(programId: string, program: ProgramBudget): void {
+    this.#programs.set(programId, program);
+    this.#formerIds.add(programId);
+  }
+
+  #delete(programId: string): void {
+    this.#programs.delete(programId);
+    this.#formerIds.delete(programId);
+  }
 }
 
 function sumUsage(program: ProgramBudget): number {
--- a/packages/sessions/src/site_snapshot.ts
+++ b/packages/sessions/src/site_snapshot.ts
@@ -137,7 +137,7 @@
 
 function toTurnHead(turn: StoredTurn): TurnHead {
   // Copies field by field, as spreading properties takes several times as long.
-  return {
+  const head = {
     turnId: turn.turnId,
     previousId: turn.previousId,
     upstream: turn.upstream,
@@ -145,4 +145,5 @@
     inputBytes: turn.input.length,
     outputBytes: turn.output.length,
   };
+  return turn.owner === undefined ? head : { ...head, owner: turn.owner };
 }
--- a/packages/sessions/src/site_state.ts
+++ b/packages/sessions/src/site_state.ts
@@ -178,10 +178,14 @@
     return { code: "OK", isCharged: true };
   }
 
-  /** Keeps the history and the budget of a turn while the turn may be open. */
+  /**
+   * Keeps the history and the budget of a turn while the turn may be open, and gives the
+   * history to its workspace.
+   */
   #holdTurn(command: BeginCommand): void {
     const { programId, previousId, openMilliseconds = 0 } = command;
     const until = this.#time + openMilliseconds + RETENTION_GRACE_MILLISECONDS;
+    this.turns.claim(previousId);
     this.turns.extendRetention(previousId, until);
     this.budgets.retain(programId, until);
   }
