A stream without framing is complete only if its upstream is still there

The client gets the events so far with the last chunk of a complete answer, and the cut turn is kept and gone on from.

Cause: a crash ends a connection in the same way as an upstream that marks the end of its stream by it. The gateway took any such stream with an event for complete, and vouched for it by a framing of its own.

Change: at the end of such a stream the gateway opens a connection to the upstream, 20 ms later, as the operating system closes the sockets of a crashed process one after the other. If it is refused, or nothing answers, the answer is broken off, the turn settled and not kept, and a resumable stream goes on elsewhere. It is a connection of its own for each, since a check that began before the end would say nothing.

Weighed (decision 0019): to pass the missing framing on ends the caller's connection each time, and the stores must still decide on the history; not to keep any such turn would answer 404 for turns that were whole.

Not covered: an upstream that breaks off one stream between two events and lives on; nothing tells.

--- a/packages/bench/src/gateways/truncated_answers_test.ts
+++ b/packages/bench/src/gateways/truncated_answers_test.ts
@@ -8,6 +8,9 @@
 import { callTurn, countRuns, findPrompt } from "./turn_caller.ts";
 import { startUnrulySite } from "./unruly_site.ts";
 
+/** Above the time for which a fake upstream that has ended is down, ms. */
+const UPSTREAM_DOWN_MILLISECONDS = 500;
+
 // Guards against a stream whose upstream crashed after the head of its answer, and
 // which its caller and the history take for a complete one without events.
 test("a stream that ends before its first event does not look complete", async (t) => {
@@ -33,6 +36,55 @@
   );
 });
 
+// Guards against a stream without framing whose upstream crashed between two events, and
+// which its caller and the history take for a complete one.
+test("a stream without framing is not complete if its upstream has ended", async (t) => {
+  const running = await startTestSite(t, { upstreams: 2 });
+  for (const { faults } of running.upstreams) {
+    faults.omitsFraming = true;
+    faults.endsOn = "fatal";
+    faults.endsAfterEvents = 2;
+  }
+  for (const id of ["fatal-1", "fatal-2", "fatal-3"]) {
+    const cut = await callTurn(running, { id });
+    t.equal(cut.status, 200, id);
+    t.notOk(cut.whole, id);
+    t.equal(countRuns(running, id), 1);
+    const next = await callTurn(running, { id: `${id} next`, previous: id });
+    t.equal(next.status, 404, "it is not kept");
+    await sleep(UPSTREAM_DOWN_MILLISECONDS);
+  }
+  const whole = await callTurn(running, { id: "whole" });
+  t.ok(whole.whole);
+  const next = await callTurn(running, { id: "next", previous: "whole" });
+  t.ok(next.whole);
+});
+
+// Guards against a resumable stream that is not resumed after such a crash.
+test("a resumable stream without framing goes on elsewhere if its upstream has ended", async (t) => {
+  const { url, upstreams } = await startTestSite(t, { upstreams: 2 });
+  const [first, second] = upstreams;
+  for (const { faults } of upstreams) {
+    faults.omitsFraming = true;
+    faults.endsAfterEvents = 2;
+  }
+  if (first === undefined || second === undefined) throw new Error("No site");
+  const endsNext = (isEnding: boolean) => {
+    for (const { faults } of upstreams) faults.endsOn = isEnding ? "fatal" : "";
+  };
+  endsNext(true);
+  const answer = callGateway(url, {
+    callId: "fatal",
+    path: "/resumable-stream/x",
+    body: "fatal",
+  });
+  while (first.runs.length + second.runs.length === 0) await sleep(1);
+  endsNext(false);
+  const { body, whole } = await answer;
+  t.ok(whole);
+  t.match(body, /^id: 1\n.*\n\nid: 2\n.*\n\nid: 3\n.*\n\n$/);
+});
+
 // Guards against an answer on a stream route that is not taken for a stream, so that
 // what came before the crash of its upstream is sent with a length of its own.
 test("a stream without a type that is cut does not look complete", async (t) => {
--- a/packages/gateway/src/calls/run_attempt.ts
+++ b/packages/gateway/src/calls/run_attempt.ts
@@ -9,6 +9,7 @@
   type Deferred,
   RESULT_CODES,
   type ResultCode,
+  sleep,
 } from "@mallowlift/core";
 import type { AnswerHead } from "../dialect.ts";
 import { findHeader } from "../http/headers.ts";
@@ -18,9 +19,15 @@
   findTruncation,
 } from "../upstreams/answer_framing.ts";
 import type { ByteReservation } from "../memory/byte_account.ts";
+import { checkAddress, UPSTREAM_STATES } from "../upstreams/check_address.ts";
 import type { UnsentRequest } from "../upstreams/unsent_requests.ts";
 import type { Upstream } from "../upstreams/upstream.ts";
-import type { AttemptEnd, AttemptOptions, AttemptResult } from "./attempt.ts";
+import type {
+  AttemptEnd,
+  AttemptOptions,
+  AttemptResult,
+  EventSink,
+} from "./attempt.ts";
 import {
   type AnswerClassification,
   classifyAnswer,
@@ -57,6 +64,11 @@
 const ANSWER_TOO_LONG_MESSAGE = "The answer is larger than the limit";
 const UNREAD_REQUESTS_MESSAGE =
   "Too many bytes wait until the upstream reads them";
+/**
+ * Time after the end of a connection after which its upstream is looked for, ms: the
+ * operating system closes the sockets of a crashed process one after the other.
+ */
+const END_CHECK_DELAY_MILLISECONDS = 20;
 /** Status for a request whose remaining time was too short for the upstream. */
 const GATEWAY_TIMEOUT_STATUS = 504;
 
@@ -130,6 +142,7 @@
   #isForwarding = false;
   #notRun: CodedError | undefined;
   #silenceTimer: NodeJS.Timeout | undefined;
+  #isSettled = false;
 
   constructor(
     options: AttemptOptions,
@@ -278,15 +291,40 @@
     }
     const { events } = this.#options;
     if (this.#isStream && this.#framing !== undefined && events !== undefined) {
+      const isUnframed = this.#framing === ANSWER_FRAMINGS.CONNECTION_END;
       const truncation = findTruncation(this.#framing, events.progress);
       if (truncation !== undefined) {
-        const cause = this.#framing === ANSWER_FRAMINGS.CONNECTION_END
-          ? LOSS_CAUSES.CLOSED
-          : LOSS_CAUSES.MALFORMED;
+        const cause = isUnframed ? LOSS_CAUSES.CLOSED : LOSS_CAUSES.MALFORMED;
         return this.onFailure(cause, truncation);
       }
+      if (isUnframed) return void this.#confirmEnd(head, events);
       events.complete();
     }
+    this.#completeAnswer(head);
+  }
+
+  /**
+   * Completes a stream that the end of its connection ends, if its upstream is still
+   * there: a crash ends a connection in the same way.
+   */
+  async #confirmEnd(head: AnswerHead, events: EventSink): Promise<void> {
+    const { upstream, limits, signal } = this.#options;
+    this.#stopSilenceTimer();
+    await sleep(END_CHECK_DELAY_MILLISECONDS, signal);
+    const state = await checkAddress(
+      upstream.instance.address,
+      limits.connectMilliseconds,
+    );
+    if (this.#isSettled) return;
+    if (state !== UPSTREAM_STATES.LIVE) {
+      const message = `The upstream is ${state} at the end of the connection`;
+      return this.onFailure(LOSS_CAUSES.CLOSED, message);
+    }
+    events.complete();
+    this.#completeAnswer(head);
+  }
+
+  #completeAnswer(head: AnswerHead): void {
     if (!this.#isStream && !this.#isForwarding) this.#recordResult(head);
     this.#settle({
       kind: "whole",
@@ -306,6 +344,7 @@
   }
 
   #settle(end: AttemptEnd): void {
+    this.#isSettled = true;
     this.#stopSilenceTimer();
     this.#options.flow.setSource(undefined);
     // The connection has written the request, or it is closed by now.
--- a/packages/mocks/src/opaque/opaque_upstream.ts
+++ b/packages/mocks/src/opaque/opaque_upstream.ts
@@ -204,6 +204,7 @@
 
   /** Begins a request and ends before its answer is complete. */
   async #endUnder(callId: string, response: ServerResponse): Promise<void> {
+    if (this.faults.omitsFraming) response.useChunkedEncodingByDefault = false;
     if (this.faults.endsAfterEvents > 0) {
       response.setHeader("content-type", "text/event-stream");
       for (let event = 1; event <= this.faults.endsAfterEvents; event++) {
