A call whose kept connection was spoiled is sent again over a new one

Cause: an upstream that sends more after a whole answer spoils the next request on that connection. Its second attempt took another kept connection of the pool, on which such a rest could still be to come.

Change: after bytes of no answer on a connection that had been used before, the call takes only a new connection. Others, and first attempts, take kept ones as before.

--- a/packages/bench/src/gateways/earlier_sends_test.ts
+++ b/packages/bench/src/gateways/earlier_sends_test.ts
@@ -66,6 +66,30 @@
   }
 });
 
+// Guards against a call that may be repeated and fails, because each of its attempts took
+// a kept connection on which the rest of an earlier answer was still to come.
+test("a call whose kept connection was spoiled is sent again over a new one", async (t) => {
+  const { script, url } = await startUnrulySite(t, { upstreams: 2 });
+  const earlier = { ...RUN_STEP, delayMilliseconds: 30 };
+  const spoiled = ["a", "b", "c", "d", "e", "f"].map((callId) => {
+    script.plan(callId, [{ ...earlier, surplusMilliseconds: 300 }]);
+    return callGateway(url, { callId, path: "/read/" });
+  });
+  for (const answer of await Promise.all(spoiled)) t.equal(answer.status, 200);
+  const malformed = {
+    ...RUN_STEP,
+    head: "status_zero",
+    staysOpen: true,
+  } as const;
+  script.plan("own", [malformed, { ...RUN_STEP, delayMilliseconds: 600 }]);
+  const { status, body } = await callGateway(url, {
+    callId: "own",
+    path: "/read/",
+  });
+  t.same({ status, body }, { status: 200, body: "ran own" });
+  t.equal(script.runs.get("own"), 2);
+});
+
 /** Returns what is wrong with the answer to a call; empty if nothing is. */
 function findFault(
   call: {
--- a/packages/gateway/src/calls/earlier_sends.ts
+++ b/packages/gateway/src/calls/earlier_sends.ts
@@ -1,5 +1,6 @@
 /** What the earlier sends of a call leave behind, which must not answer a later one. */
 
+import type { ConnectionChoice } from "../upstreams/upstream.ts";
 import type { UpstreamConnection } from "../upstreams/upstream_connection.ts";
 
 /**
@@ -11,7 +12,7 @@
  * @example
  * ```ts
  * const earlier = new EarlierSends();
- * const opened = await upstream.acquire(limits, now, earlier.connections);
+ * const opened = await upstream.acquire(limits, now, earlier.connectionChoice);
  * earlier.recordSend(opened.unwrap());
  * earlier.recordAnswer("answer-1"); // true
  * earlier.recordAnswer("answer-1"); // false: a copy
@@ -20,10 +21,11 @@
 export class EarlierSends {
   readonly #connections = new Set<UpstreamConnection>();
   readonly #answerIds = new Set<string>();
+  #needsNew = false;
 
-  /** Connections that have carried the call and must not carry it again. */
-  get connections(): ReadonlySet<UpstreamConnection> {
-    return this.#connections;
+  /** Which connections may carry the next send of the call. */
+  get connectionChoice(): ConnectionChoice {
+    return { excluded: this.#connections, needsNew: this.#needsNew };
   }
 
   /** Records that the call is sent over a connection. */
@@ -31,6 +33,14 @@
     this.#connections.add(connection);
   }
 
+  /**
+   * Records that bytes of no answer came over a connection. The rest of an earlier
+   * answer may come over any other one that has been used before.
+   */
+  recordSpoiled(connection: UpstreamConnection): void {
+    if (connection.isReused) this.#needsNew = true;
+  }
+
   /**
    * Records an answer to the call; false if an earlier send got the same one.
    * Answers without an id are taken for different ones.
--- a/packages/gateway/src/calls/run_attempt.ts
+++ b/packages/gateway/src/calls/run_attempt.ts
@@ -82,7 +82,7 @@
     const opened = await upstream.acquire(
       limits,
       performance.now(),
-      options.earlier.connections,
+      options.earlier.connectionChoice,
     );
     if (opened.err) return handleAcquireFailure(upstream, opened.val);
     const connection = opened.val;
@@ -338,7 +338,11 @@
     if (this.#notRun !== undefined) {
       return this.#settle({ kind: "not_run", error: this.#notRun });
     }
-    this.#options.upstream.health.recordFailure(performance.now());
+    const { upstream, earlier } = this.#options;
+    upstream.health.recordFailure(performance.now());
+    if (cause === LOSS_CAUSES.MALFORMED) {
+      earlier.recordSpoiled(this.#connection);
+    }
     const error = createError(RESULT_CODES.ANSWER_SPOILED, message);
     this.#settle({ kind: "lost", error, cause });
   }
--- a/packages/gateway/src/upstreams/upstream.ts
+++ b/packages/gateway/src/upstreams/upstream.ts
@@ -23,8 +23,6 @@
 /** Listeners for the end of an instance that are kept; later ones replace the oldest. */
 const MAX_END_LISTENERS = 64;
 
-const NO_CONNECTIONS: ReadonlySet<UpstreamConnection> = new Set();
-
 interface IdleConnection {
   readonly connection: UpstreamConnection;
   readonly expiresAt: number;
@@ -37,6 +35,19 @@
   readonly idleMilliseconds: number;
 }
 
+/** Which connections may carry a request. */
+export interface ConnectionChoice {
+  /** Connections that must not carry it. */
+  readonly excluded: ReadonlySet<UpstreamConnection>;
+  /** True if only a new connection may carry it. */
+  readonly needsNew: boolean;
+}
+
+const ANY_CONNECTION: ConnectionChoice = {
+  excluded: new Set(),
+  needsNew: false,
+};
+
 /** An upstream instance and a pool of connections to it. */
 export class Upstream {
   instance: UpstreamInstance;
@@ -110,16 +121,16 @@
   }
 
   /**
-   * Returns the newest idle connection that is not in `excluded`, or opens one
-   * within the limits. An excluded idle connection is closed if it takes the
-   * place of the new one.
+   * Returns the newest idle connection that may be chosen, or opens one within the
+   * limits. Another idle connection is closed if it takes the place of the new one.
    */
   async acquire(
     limits: ConnectionLimits,
     now: number,
-    excluded: ReadonlySet<UpstreamConnection> = NO_CONNECTIONS,
+    choice: ConnectionChoice = ANY_CONNECTION,
   ): Promise<Outcome<UpstreamConnection>> {
-    const idle = this.#takeIdle(now, excluded);
+    const { excluded, needsNew } = choice;
+    const idle = needsNew ? undefined : this.#takeIdle(now, excluded);
     if (idle !== undefined) return Ok(idle);
     if (this.#connectionCount >= limits.maxConnections) {
       this.#idle.pop()?.connection.destroy();
--- a/packages/mocks/src/opaque/unruly_upstream.ts
+++ b/packages/mocks/src/opaque/unruly_upstream.ts
@@ -10,6 +10,7 @@
   type Server,
   type Socket,
 } from "node:net";
+import { setTimeout } from "node:timers";
 import { setTimeout as sleep } from "node:timers/promises";
 import { CUT_HEADS, type CutHeadKind } from "./cut_heads.ts";
 import { ENDLESS_ANSWERS, type EndlessKind } from "./endless_answers.ts";
@@ -38,6 +39,8 @@
   readonly resets?: boolean;
   /** True to leave that connection open. */
   readonly staysOpen?: boolean;
+  /** Time from the answer to bytes behind it that are no answer, ms; none by default. */
+  readonly surplusMilliseconds?: number;
   /** Type of that answer; text/plain by default. */
   readonly type?: string;
 }
@@ -187,6 +190,9 @@
       return void socket.resetAndDestroy();
     }
     socket.write(bytes);
+    if (step.surplusMilliseconds !== undefined) {
+      setTimeout(() => socket.write("surplus\n"), step.surplusMilliseconds);
+    }
     if (step.fault === "twice") socket.write(bytes);
     if (step.isUnframed === true) socket.end();
   }
