The first turn of a chain does not build an index of all turns

Cause: a turn that continues none looks up an empty id. It has no scope, so that the index by plain ids, meant for the time after a document has lost its workspaces, was built at once and kept on each site with workspaces.

Change: an empty id has no former one.

--- a/packages/sessions/src/former_ids.ts
+++ b/packages/sessions/src/former_ids.ts
@@ -53,6 +53,8 @@
    * ```
    */
   find(id: string): string | undefined {
+    // Each first turn of a chain names no other one, and needs no index.
+    if (id === "") return undefined;
     const { scope, plainId } = splitScopedId(id);
     if (scope !== "") return this.#items.has(plainId) ? plainId : undefined;
     if (this.#scopedCount === 0) return undefined;
--- a/packages/sessions/src/workspace_change_test.ts
+++ b/packages/sessions/src/workspace_change_test.ts
@@ -160,6 +160,7 @@
   t.equal(ids.find("a"), undefined);
   store("a");
   t.equal(ids.find(`${NORTH}a`), "a");
+  t.equal(ids.find(""), undefined);
   t.end();
 });
 
